--- a/tallyhoist/brain.py
+++ b/corkdeal/brain.py
@@ -1,4 +1,4 @@
-"""Every decision of a gateway; its settings, events and actions are in tallyhoist/interface.py.
+"""Every decision of a gateway; its settings, events and actions are in corkdeal/interface.py.
 
 Ordinary path: spend the customer's slice from a local bucket, refuse early, trade slice with ring neighbours.
 """
--- a/tallyhoist/drill.py
+++ b/corkdeal/drill.py
@@ -77,7 +77,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as error:
-        print(f"tallyhoist: {error}", file=sys.stderr)
+        print(f"corkdeal: {error}", file=sys.stderr)
         return 2
     except BrokenPipeError:
         return 1
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from tallyhoist import interface as t
-from tallyhoist import peers
+from corkdeal import interface as t
+from corkdeal import peers
 
 from .helpers import PLAN, Ring, pick, request
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from tallyhoist import interface as t
-from tallyhoist.brain import Gateway
+from corkdeal import interface as t
+from corkdeal.brain import Gateway
 
 from .helpers import SAFE, outcome, pick, request, servers, settings
 
--- a/tests/test_wide.py
+++ b/tests/test_wide.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from tallyhoist import interface as t
-from tallyhoist import peers
-from tallyhoist.brain import NARROW, SUBSET, Gateway
+from corkdeal import interface as t
+from corkdeal import peers
+from corkdeal.brain import NARROW, SUBSET, Gateway
 
 from .helpers import SAFE, UNSAFE, outcome, pick, request, servers, settings
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from tallyhoist import drill, wire
-from tallyhoist import interface as t
+from corkdeal import drill, wire
+from corkdeal import interface as t
 
 TEXT = """balancers=2
 me=0
@@ -83,7 +83,7 @@
     (batch(attach(TEXT.replace("semantics=pure", "semantics=odd"))), "classes.0.semantics"),
 ])
 def test_malformed_input_ends_with_one_plain_line(data, word):
-    done = subprocess.run([sys.executable, "-m", "tallyhoist.drill"], input=data, capture_output=True,
+    done = subprocess.run([sys.executable, "-m", "corkdeal.drill"], input=data, capture_output=True,
                           cwd=pathlib.Path(__file__).parents[1], check=False)
     assert done.returncode not in (0, None) and done.stdout == b""
     lines = done.stderr.decode().splitlines()
@@ -103,5 +103,5 @@
 
 
 def test_module_keeps_its_limits():
-    lines = (pathlib.Path(__file__).parents[1] / "tallyhoist" / "brain.py").read_text().splitlines()
+    lines = (pathlib.Path(__file__).parents[1] / "corkdeal" / "brain.py").read_text().splitlines()
     assert len([x for x in lines if x.strip()]) <= 400 and max(map(len, lines)) <= 110
