--- a/corkdeal/interface.py
+++ b/corkdeal/interface.py
@@ -69,6 +69,7 @@
     window: float = 0.0
     stream: bool = False
     aim_stretch: float = 0.0
+    name: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -84,6 +85,7 @@
     ceiling_rate: float = 0.0
     ceiling_burst: float = 0.0
     ceiling_slack: float = 0.0
+    name: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -107,6 +109,9 @@
     max_advised_wait: float = 0.0
     marks_retry: bool = False
     connect_timeout: float = 0.25
+    conn_idle: float = 30.0
+    zones: tuple[str, ...] = ()
+    kinds: tuple[str, ...] = ()
     counter: bool = False
     counter_timeout: float = 0.0
     meter_period: float = 0.0
--- /dev/null
+++ b/corkdeal/net/channel.py
@@ -0,0 +1,164 @@
+"""The clients' side: channels that carry RPCs and answer them in the order of their commands."""
+
+from __future__ import annotations
+
+import socket
+from collections import deque
+from typing import Any
+
+from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.internet.protocol import ServerFactory
+from twisted.protocols.basic import LineReceiver
+from zope.interface import implementer
+
+from . import gather
+from .invariants import count, holds
+from .resp import Frame, Malformed, Parser
+from .rpc import READ, RPC, WRITE, BadRequest
+
+LINGER = 1.0  # s that a refused channel is read on, so that its client can read why
+OK = b"+OK\r\n"
+
+
+class Ready:
+    """An answer that needs no RPC, in its place among the others."""
+
+    __slots__ = ("reply",)
+
+    def __init__(self, reply: bytes) -> None:
+        self.reply = [reply]
+
+
+@implementer(IHalfCloseableProtocol)
+class Channel(LineReceiver):
+    """One client connection: a LineReceiver in raw mode, whose heads are parsed where they arrived."""
+
+    line_mode = 0
+
+    def __init__(self, gateway: Any) -> None:
+        self.gateway, self.parser = gateway, Parser()
+        self.waiting: deque[RPC | Ready] = deque()  # in the order of their commands
+        self.begun = 0.0  # when the first byte of a command that has not come whole was seen
+        self.half_closed = self.closing = self.refused = False
+
+    def connectionMade(self) -> None:
+        """Join the others, unless all descriptors are in use."""
+        self.transport.setTcpNoDelay(True)
+        self.gateway.channels.add(self)
+        if self.gateway.crowded():
+            count("channel_refused")
+            self.refuse(b"-ERR max number of clients reached\r\n")
+
+    def rawDataReceived(self, data: bytes) -> None:
+        """Take bytes; malformed ones cost this channel only, and no others."""
+        if self.refused:
+            return
+        now = self.gateway.now()
+        begun = self.begun if self.parser.midway else now
+        try:
+            self.parser.feed(data)
+            while not self.refused and (frame := self.parser.next()) is not None:
+                self.command(frame, now, begun)
+                begun = now
+        except Malformed as error:
+            count("channel_malformed")
+            self.refuse(b"-ERR Protocol error: %b\r\n" % str(error).encode())
+        self.begun = begun
+
+    def command(self, frame: Frame, now: float, begun: float) -> None:
+        """One command; what is no request is answered here."""
+        if not frame.is_command():
+            raise Malformed("expected an array of bulk strings")
+        name = frame.text(1).upper()
+        if name in (READ, WRITE):
+            try:
+                rpc = self.gateway.reader.read(frame, now, begun)
+            except BadRequest as error:
+                count("request_malformed")
+                return self.ready(b"-ERR %b\r\n" % str(error).encode())
+            rpc.channel = self
+            self.waiting.append(rpc)
+            self.gateway.take(rpc)
+        elif name == b"PING" and len(frame.items) == 2:
+            self.ready(b"+PONG\r\n")
+        elif name in (b"PING", b"ECHO") and len(frame.items) == 3:
+            self.ready(b"$%d\r\n%b\r\n" % (frame.items[2].size, frame.text(2)))
+        elif name in (b"CLIENT", b"SELECT"):
+            self.ready(OK)
+        elif name == b"QUIT":
+            self.refuse(OK)
+        else:
+            self.ready(b"-ERR unknown command\r\n")
+
+    def ready(self, reply: bytes) -> None:
+        """An answer at once, behind those that are still to come."""
+        self.waiting.append(Ready(reply))
+        self.flush()
+
+    def answer(self, rpc: RPC, reply: list[gather.Part]) -> None:
+        """The one final answer of an RPC."""
+        if holds(rpc.reply is None, "second_answer"):
+            rpc.reply = reply
+            self.flush()
+
+    def flush(self) -> None:
+        """Write what is ready in order, by one gathered write; close where nothing is left to do."""
+        parts: list[gather.Part] = []
+        while self.waiting and self.waiting[0].reply is not None:
+            parts += self.waiting.popleft().reply
+        if parts and self.transport.connected:
+            gather.write(self.transport, parts)
+        if not self.waiting:
+            if self.refused:
+                self.transport.loseWriteConnection()
+                self.gateway.reactor.callLater(LINGER, self.transport.abortConnection)
+            elif self.closing or self.half_closed:
+                self.transport.loseConnection()
+
+    def refuse(self, reply: bytes) -> None:
+        """Answer what came before, then this, then end; closing at once could destroy it on its way."""
+        self.refused = True
+        self.ready(reply)
+
+    def close_when_idle(self) -> None:
+        """Close between requests: now, or after the last answer."""
+        if not self.closing and not self.refused:
+            self.closing = True
+            if not self.waiting and not self.parser.midway:
+                self.transport.loseConnection()
+
+    def readConnectionLost(self) -> None:
+        """The client sends no more. It may still read, so what it asked for is answered first."""
+        self.half_closed = True
+        if not self.waiting:
+            self.transport.loseConnection()
+
+    def writeConnectionLost(self) -> None:
+        """This side's own half-close; the other half ends the channel."""
+
+    def connectionLost(self, reason: Any = None) -> None:
+        """The client has gone away: nobody waits for what it asked."""
+        self.gateway.channels.discard(self)
+        waiting, self.waiting = self.waiting, deque()
+        for rpc in waiting:
+            if isinstance(rpc, RPC) and rpc.reply is None:
+                self.gateway.gone(rpc)
+        self.gateway.channel_ended()
+
+
+class Channels(ServerFactory):
+    """Accepts clients."""
+
+    noisy = False
+
+    def __init__(self, gateway: Any) -> None:
+        self.gateway = gateway
+
+    def buildProtocol(self, addr: Any) -> Channel:
+        """One channel for one connection."""
+        return Channel(self.gateway)
+
+
+def listen(reactor: Any, at: tuple[str, int], gateway: Any) -> Any:
+    """Open the port, on this address only."""
+    return reactor.listenTCP(at[1], Channels(gateway), backlog=socket.SOMAXCONN, interface=at[0])
--- /dev/null
+++ b/corkdeal/net/config.py
@@ -0,0 +1,131 @@
+"""The one place where configuration is read, checked and given defaults."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from .. import interface as t
+from .. import wire
+from .resolver import ListError, ResolverResult, parse_list
+
+Address = tuple[str, int]
+MOST_PORT = 65535
+
+
+class ConfigError(ValueError):
+    """Configuration that can't be used; the text names the key."""
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    """All that one gateway is told at its start."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    settings: t.Settings
+    peer_listen: Address | None = None
+    peers: tuple[Address, ...] = ()
+    peers_all: Address | None = None
+    known: ResolverResult | None = None
+    sockets: int = 1024
+
+
+def address(raw: object, key: str) -> Address:
+    """An IPv4 host and port; there are no names to look up."""
+    host, _, port = raw.rpartition(":") if isinstance(raw, str) else ("", "", "")
+    parts = host.split(".")
+    if (len(parts) != 4 or not all(p.isdecimal() and int(p) < 256 for p in parts)
+            or not port.isdecimal() or not 0 < int(port) <= MOST_PORT):
+        raise ConfigError(f"{key} must be an IPv4 address and a port, not {raw!r:.60}")
+    return host, int(port)
+
+
+def flatten(value: Any, path: str, into: dict[str, str]) -> None:
+    """Nested settings as text by path, the form of the simulator's first message."""
+    if isinstance(value, dict):
+        for key, inner in value.items():
+            flatten(inner, f"{path}.{key}" if path else key, into)
+    elif isinstance(value, list) and any(isinstance(x, dict) for x in value):
+        into[f"{path}.count"] = str(len(value))
+        for i, inner in enumerate(value):
+            flatten(inner, f"{path}.{i}", into)
+    elif isinstance(value, list):
+        into[path] = ",".join(map(str, value))
+    elif value is not None:
+        into[path] = str(value).lower() if isinstance(value, bool) else str(value)
+
+
+def settings_of(raw: object) -> t.Settings:
+    """The module's settings from their JSON form."""
+    if not isinstance(raw, dict):
+        raise ConfigError("settings must be an object")
+    pairs: dict[str, str] = {}
+    flatten(raw, "", pairs)
+    try:
+        made = wire.settings_from(pairs)
+    except wire.WireError as error:
+        raise ConfigError(f"settings: {error}") from None
+    if made.me >= made.gateways:
+        raise ConfigError(f"settings: me is {made.me}, but balancers is {made.gateways}")
+    return made
+
+
+def seed_of(raw: object) -> int:
+    """The seed: hexadecimal text."""
+    try:
+        return int(raw, 16)  # type: ignore[call-overload]
+    except (TypeError, ValueError):
+        raise ConfigError(f"seed must be hexadecimal text, not {raw!r:.60}") from None
+
+
+def read(data: bytes, env: Mapping[str, str] = os.environ) -> Config:
+    """Check a configuration; what it leaves out comes from the environment or a default."""
+    try:
+        raw = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        raise ConfigError(f"configuration is not JSON: {error}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError("configuration must be an object")
+    limits, peers = raw.get("limits", {}), raw.get("peers", [])
+    if not isinstance(limits, dict):
+        raise ConfigError("limits must be an object")
+    sockets = limits.get("sockets", 1024)
+    if type(sockets) is not int or sockets < 32:
+        raise ConfigError(f"limits.sockets must be a whole number of 32 or more, not {sockets!r:.60}")
+    if not isinstance(peers, list):
+        raise ConfigError("peers must be a list")
+    settings = settings_of(raw.get("settings"))
+    if peers and len(peers) != settings.gateways:
+        raise ConfigError(f"peers must name all {settings.gateways} gateways, not {len(peers)}")
+    try:
+        known = None if raw.get("known") is None else parse_list(raw["known"], settings)
+    except ListError as error:
+        raise ConfigError(f"known: {error}") from None
+    return Config(
+        name=str(raw.get("name") or env.get("RELAY_NAME") or "gateway"),
+        listen=address(raw.get("listen") or env.get("RELAY_LISTEN"), "listen"),
+        discovery=address(raw.get("discovery") or env.get("RELAY_DISCOVERY"), "discovery"),
+        seed=seed_of(raw.get("seed", "0")), settings=settings,
+        peer_listen=address(raw["peer_listen"], "peer_listen") if raw.get("peer_listen") else None,
+        peers=tuple(address(p, f"peers.{i}") for i, p in enumerate(peers)),
+        peers_all=address(raw["peers_all"], "peers_all") if raw.get("peers_all") else None,
+        known=known, sockets=sockets)
+
+
+def load(env: Mapping[str, str] = os.environ) -> Config:
+    """Read the file that RELAY_CONFIG names."""
+    path = env.get("RELAY_CONFIG")
+    if not path:
+        raise ConfigError("RELAY_CONFIG is not set")
+    try:
+        with open(path, "rb") as file:
+            return read(file.read(), env)
+    except OSError as error:
+        raise ConfigError(f"RELAY_CONFIG: {error.strerror}: {path}") from None
--- /dev/null
+++ b/corkdeal/net/gateway.py
@@ -0,0 +1,312 @@
+"""Turns socket events into the module's events and carries out its actions on the sockets."""
+
+from __future__ import annotations
+
+import heapq
+import math
+import time
+from typing import Any
+
+from twisted.logger import Logger
+
+from .. import interface as t
+from ..brain import Gateway as Decisions
+from . import channel, invariants
+from .config import Config
+from .invariants import count, holds
+from .peering import Peering
+from .resolver import ResolverResult, Watch
+from .resp import command, report_of
+from .rpc import RPC, Reader
+from .subchannel import Attempt, Pool, Reply
+
+log = Logger()
+START_WAIT = 0.25  # s that a start waits for discovery's first word before it goes by `known`
+STAY_UP = 0.5  # s after SIGTERM that new connections are taken; they keep coming for 0.4
+PROBE_TIMEOUT = 0.25  # s
+SWEEP_EVERY = 2.0  # s between looks for idle connections to retire
+REPORT_EVERY = 10.0  # s between lines of counts
+SPARE_SOCKETS = 48  # descriptors kept for the log, discovery, peers and what is being closed
+FAILED = b"-ERR failed\r\n"
+
+
+class Gateway:
+    """One gateway: the module's decisions between channels and subchannels."""
+
+    def __init__(self, reactor: Any, config: Config) -> None:
+        self.reactor, self.config, self.settings = reactor, config, config.settings
+        self.epoch = time.time() - time.monotonic()  # wall time at the start; later steps of it don't matter
+        self.decisions = Decisions(self.settings, config.seed)
+        self.reader = Reader(self.settings)
+        self.pool = Pool(reactor, self.settings, config.sockets // 2, self.now, self.finished)
+        self.peering = Peering(self.settings.me, config.peers, config.peers_all, self.heard)
+        self.watch = Watch(reactor, config.discovery, self.settings, self.told)
+        self.report_names = {f: f for f in self.settings.report_fields}
+        self.channels: set[channel.Channel] = set()
+        self.rpcs: dict[int, RPC] = {}  # taken and not answered
+        self.out: dict[tuple[int, int], Attempt] = {}
+        self.events: list[t.Event] = []
+        self.busy = False
+        self.timers: list[tuple[float, int, Any]] = []  # due, order, and a token or an attempt
+        self.timer_number = 0
+        self.wake: Any = None
+        self.wake_at = math.inf
+        self.port: Any = None
+        self.started = self.draining = False
+        self.reported = ""
+        self.act = {t.Send: self.send, t.Refuse: self.refuse, t.Fail: self.fail, t.Cancel: self.cancel,
+                    t.SetTimer: self.set_timer, t.Probe: self.probe, t.CloseIdle: self.close_idle,
+                    t.Tell: self.tell, t.Log: self.write_log, t.Subscribe: self.subscribe,
+                    t.FetchList: self.fetch_list, t.Count: self.count}
+
+    def now(self) -> float:
+        """The module's clock: wall time at the start plus monotonic time since."""
+        return self.epoch + time.monotonic()
+
+    # Start and end
+
+    def start(self) -> None:
+        """Begin with the list last known; clients are let in once discovery has spoken, or soon anyway."""
+        known = self.config.known
+        if known:
+            self.take_list(known, t.ListKind.CACHED)
+        else:
+            self.feed(t.ServerList(t.ListKind.CACHED))
+        if self.config.peer_listen:
+            host, port = self.config.peer_listen
+            self.reactor.listenUDP(port, self.peering, interface=host, maxPacketSize=1024)
+        self.watch.run()
+        self.reactor.callLater(START_WAIT, self.open)
+        self.reactor.callLater(SWEEP_EVERY, self.sweep)
+        self.reactor.callLater(REPORT_EVERY, self.report)
+
+    def open(self) -> None:
+        """Let clients in; from here on PING is answered."""
+        if not self.started:
+            self.started = True
+            self.port = channel.listen(self.reactor, self.config.listen, self)
+            log.info("{name} serves on {at}", name=self.config.name, at=self.config.listen)
+
+    def drain(self) -> None:
+        """Planned end: new connections are taken for a while, then channels close as they fall idle."""
+        if not self.draining:
+            self.draining = True
+            log.info("draining: {n} RPCs open", n=len(self.rpcs))
+            self.reactor.callLater(STAY_UP, self.close)
+
+    def close(self) -> None:
+        """Take no new connections; what was taken is still answered."""
+        if self.port:
+            self.port.stopListening()
+        self.watch.stop()
+        for each in list(self.channels):
+            each.close_when_idle()
+        self.channel_ended()
+
+    def channel_ended(self) -> None:
+        """End once draining is done and the last channel has closed."""
+        if self.draining and not self.channels and not self.rpcs and self.reactor.running and (
+                not self.port or self.port.disconnecting or self.port.disconnected):
+            self.report()
+            self.reactor.stop()
+
+    def crowded(self) -> bool:
+        """Whether descriptors are about to run out."""
+        return len(self.channels) + len(self.pool.open) > self.config.sockets - SPARE_SOCKETS
+
+    def sweep(self) -> None:
+        """Retire idle subchannels now and then."""
+        self.pool.sweep()
+        self.reactor.callLater(SWEEP_EVERY, self.sweep)
+
+    def report(self) -> None:
+        """Log the counts where they changed."""
+        if (line := invariants.report()) != self.reported:
+            self.reported = line
+            log.info("counts: {line}", line=line)
+        self.reactor.callLater(REPORT_EVERY, self.report)
+
+    # Events
+
+    def feed(self, event: t.Event) -> None:
+        """Hand an event to the module; what actions cause at once goes into its next call."""
+        self.events.append(event)
+        if not self.busy:
+            self.pump()
+
+    def pump(self) -> None:
+        """Call the module until nothing is left to tell it, and carry out what it wants."""
+        self.busy = True
+        try:
+            while self.events:
+                events, self.events = self.events, []
+                try:
+                    actions = self.decisions.handle(self.now(), events)
+                except Exception:  # costs the RPCs of these events only
+                    count("module_failed")
+                    log.failure("the module failed on {events}", events=events)
+                    actions = self.decisions.out + self.orphans(events)
+                for action in actions:
+                    try:
+                        self.act[type(action)](action)
+                    except Exception:
+                        count("action_failed")
+                        log.failure("could not carry out {action}", action=action)
+                        if (rpc := self.rpcs.get(getattr(action, "id", -1))) is not None and not rpc.attempt:
+                            self.fail(t.Fail(rpc.request.id))
+        finally:
+            self.busy = False
+        self.arm()
+
+    def orphans(self, events: list[t.Event]) -> list[t.Action]:
+        """Failures for the RPCs that these events were about, as far as none of them was sent just now."""
+        sent = {a.id for a in self.decisions.out if isinstance(a, t.Send)}
+        ids = {e.id for e in events if isinstance(e, t.Request | t.Outcome)} - sent
+        return [t.Fail(i) for i in sorted(ids) if i in self.rpcs and not self.rpcs[i].attempt]
+
+    def take(self, rpc: RPC) -> None:
+        """An RPC has come whole; from here on it is owed an answer."""
+        self.rpcs[rpc.request.id] = rpc
+        self.feed(rpc.request)
+
+    def gone(self, rpc: RPC) -> None:
+        """Its client has gone away."""
+        if not rpc.done:
+            rpc.done = True
+            del self.rpcs[rpc.request.id]
+            self.feed(t.ClientGone(rpc.request.id))
+
+    def finished(self, attempt: Attempt, reply: Reply) -> None:
+        """An attempt ended; a value is passed on before the module hears of it."""
+        elapsed, rpc = max(0.0, self.now() - attempt.sent_at), attempt.rpc
+        report = report_of(reply.report, self.report_names) if reply.report else {}
+        if rpc is None:
+            return self.feed(t.ProbeResult(attempt.server, reply.status, elapsed, report))
+        rid = rpc.request.id
+        self.out.pop((rid, attempt.number), None)
+        rpc.attempt = None
+        if reply.status is t.Status.OK and not rpc.done:
+            self.answer(rid, [reply.value])
+        self.feed(t.Outcome(rid, attempt.number, attempt.server, reply.status, elapsed, rpc.done,
+                            report=report))
+
+    def heard(self, peer: int, payload: bytes) -> None:
+        """A peer's datagram."""
+        self.feed(t.PeerMessage(peer, payload))
+
+    def told(self, result: ResolverResult) -> None:
+        """Discovery's word."""
+        self.take_list(result, t.ListKind.FULL if result.complete else t.ListKind.DELTA)
+        self.open()
+
+    def take_list(self, result: ResolverResult, kind: t.ListKind) -> None:
+        """Follow a resolver result: the list leads its batch, so nothing is sent again to what drains."""
+        self.events.append(t.ServerList(kind, result.entries, result.revision))
+        for entry in result.entries:
+            self.pool.told(entry.server, entry.state is t.ServerState.READY, result.addresses[entry.server])
+        if kind is t.ListKind.FULL:
+            for server in self.pool.addresses.keys() - result.addresses.keys():
+                self.pool.told(server, False, self.pool.addresses[server])
+        self.pump()
+
+    # Timers: one heap and one call of the reactor's for all of them
+
+    def at(self, due: float, what: Any) -> None:
+        """Have a token announced, or an attempt ended, at a time."""
+        self.timer_number += 1
+        heapq.heappush(self.timers, (due, self.timer_number, what))
+        if not self.busy:
+            self.arm()
+
+    def arm(self) -> None:
+        """Wake for the earliest timer; attempts that are over need none."""
+        timers = self.timers
+        while timers and type(timers[0][2]) is Attempt and timers[0][2].over:
+            heapq.heappop(timers)
+        if timers and timers[0][0] < self.wake_at:
+            if self.wake is not None:
+                self.wake.cancel()
+            self.wake_at = timers[0][0]
+            self.wake = self.reactor.callLater(max(0.0, self.wake_at - self.now()), self.ring)
+
+    def ring(self) -> None:
+        """Tell all that is due, in one call of the module."""
+        self.wake, self.wake_at, now = None, math.inf, self.now()
+        tokens, late = [], []
+        while self.timers and self.timers[0][0] <= now:
+            what = heapq.heappop(self.timers)[2]
+            (late if type(what) is Attempt else tokens).append(what)
+        self.events += [t.TimerDue(token) for token in tokens]
+        self.pump()
+        for attempt in late:
+            self.pool.give_up(attempt, t.Status.TIMEOUT)
+        self.arm()
+
+    # Actions
+
+    def answer(self, rid: int, reply: list[Any]) -> None:
+        """The one final answer; what has one already, or whose client is gone, gets none."""
+        rpc = self.rpcs.pop(rid, None)
+        if rpc is not None:
+            rpc.done = True
+            rpc.channel.answer(rpc, reply)
+
+    def send(self, a: t.Send) -> None:
+        """Start an attempt; it ends with the client's patience at the latest."""
+        rpc, now = self.rpcs.get(a.id), self.now()
+        if rpc is None or not holds(rpc.attempt is None, "two_attempts_at_once"):
+            number = rpc.attempts if rpc else 0
+            return self.feed(t.Outcome(a.id, number, a.server, t.Status.MOOT, 0.0, rpc is None))
+        until = min(rpc.deadline, now + a.timeout) if a.timeout > 0 else rpc.deadline
+        attempt = Attempt(rpc, rpc.attempts, a.server, now, until, rpc.parts(until - now))
+        self.out[a.id, attempt.number] = rpc.attempt = attempt
+        rpc.attempts += 1
+        self.at(until, attempt)
+        self.pool.send(attempt)
+
+    def refuse(self, a: t.Refuse) -> None:
+        """The unavailable status, with the time after which to come again where that is allowed."""
+        wait = math.ceil(a.retry_after * 1000) if self.settings.may_advise_wait else 0
+        self.answer(a.id, [b"-BUSY %d\r\n" % wait if wait > 0 else b"-BUSY\r\n"])
+
+    def fail(self, a: t.Fail) -> None:
+        """A failure that promises nothing."""
+        self.answer(a.id, [FAILED])
+
+    def cancel(self, a: t.Cancel) -> None:
+        """Stop waiting for an attempt."""
+        if (attempt := self.out.get((a.id, a.attempt))) is not None:
+            self.pool.give_up(attempt, t.Status.CANCELLED)
+
+    def set_timer(self, a: t.SetTimer) -> None:
+        """A timer of the module's."""
+        self.at(self.now() + a.delay, a.token)
+
+    def probe(self, a: t.Probe) -> None:
+        """Ask a backend for its load."""
+        now = self.now()
+        attempt = Attempt(None, 0, a.server, now, now + PROBE_TIMEOUT, [command(b"INFO", b"load")])
+        self.at(attempt.until, attempt)
+        self.pool.send(attempt)
+
+    def close_idle(self, a: t.CloseIdle) -> None:
+        """Close a backend's idle connections."""
+        self.pool.close_idle(a.server)
+
+    def tell(self, a: t.Tell) -> None:
+        """A datagram."""
+        self.peering.tell(a.peer, a.payload)
+
+    def write_log(self, a: t.Log) -> None:
+        """A line for the operators."""
+        log.info("module: {text}", text=a.text)
+
+    def subscribe(self, a: t.Subscribe) -> None:
+        """The watch runs always: nothing to do."""
+
+    def fetch_list(self, a: t.FetchList) -> None:
+        """The watch holds the newest list there is: nothing to do."""
+
+    def count(self, a: t.Count) -> None:
+        """No counter service is offered to real gateways: nothing was added."""
+        self.feed(t.CountTotal(a.name, 0.0, t.Status.CONNECT_FAILED, 0.0))
--- /dev/null
+++ b/corkdeal/net/gather.py
@@ -0,0 +1,37 @@
+"""Gathered writes on Twisted's transports.
+
+ITransport.writeSequence only queues its parts: the transport joins them into one bytes object at the
+next turn of the reactor, which copies every body and costs two epoll_ctl and one more epoll_wait.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from .invariants import count
+
+Part = bytes | memoryview
+
+
+def pending(transport: Any) -> bool:
+    """Whether bytes handed to the transport still wait to be written."""
+    return bool(transport.dataBuffer or transport._tempDataBuffer)
+
+
+def write(transport: Any, parts: list[Part]) -> None:
+    """Write parts by one sendmsg; only what the socket does not take at once is left to the transport."""
+    if pending(transport):
+        return transport.writeSequence([bytes(p) for p in parts])
+    try:
+        sent = transport.getHandle().sendmsg(parts)
+    except BlockingIOError:
+        sent = 0
+    except OSError:  # broken; the loss is reported at the next turn
+        count("write_on_broken_connection")
+        return transport.abortConnection()
+    for part in parts:
+        if sent >= len(part):
+            sent -= len(part)
+        else:
+            transport.write(bytes(memoryview(part)[sent:]))
+            sent = 0
--- /dev/null
+++ b/corkdeal/net/resolver.py
@@ -0,0 +1,131 @@
+"""Discovery's list of subchannels: how a resolver result is read, and the watch that fetches it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.task import deferLater
+from twisted.logger import Logger
+from twisted.web.client import Agent, HTTPConnectionPool, readBody
+
+from .. import interface as t
+from .invariants import count
+
+log = Logger()
+STATES = {"Ready": t.ServerState.READY, "Terminating": t.ServerState.DRAINING, "Gone": t.ServerState.GONE}
+WAIT_MS = 20000  # how long one call of the watch may wait
+ANSWER_LATE = 1.5  # s past that after which a call counts as lost; the rules deem us told at 2 s
+PLAIN_LATE = 3.0  # s for a call that need not wait
+AGAIN = 0.1  # s before another try; the watch goes on only within 0.2 s of its last answer
+
+
+class ListError(ValueError):
+    """A list that can't be used; the text names the entry and the key."""
+
+
+@dataclass(slots=True, frozen=True)
+class ResolverResult:
+    """What discovery told: entries for the module, and the addresses that they stand for."""
+
+    revision: int
+    complete: bool
+    entries: tuple[t.ServerEntry, ...]
+    addresses: dict[str, tuple[str, int]]
+
+
+def index(names: tuple[str, ...], name: object) -> int:
+    """Position of a name in the settings; one past the end for a name they don't hold."""
+    return names.index(name) if name in names else len(names)
+
+
+def parse_list(raw: Any, settings: t.Settings) -> ResolverResult:
+    """Check one list, in discovery's form, and turn it into the module's terms."""
+    if not isinstance(raw, dict):
+        raise ListError("the list is no object")
+    revision, members = raw.get("revision"), raw.get("members")
+    if type(revision) is not int or revision < 0:
+        raise ListError("revision must be a whole number")
+    if not isinstance(raw.get("complete"), bool):
+        raise ListError("complete must be true or false")
+    if not isinstance(members, list):
+        raise ListError("members must be a list")
+    entries, addresses = [], {}
+    for i, m in enumerate(members):
+        if not isinstance(m, dict):
+            raise ListError(f"members.{i} is no object")
+        name, at, phase = m.get("id"), m.get("host_port"), m.get("phase")
+        if not isinstance(name, str) or not name:
+            raise ListError(f"members.{i}.id must be text")
+        if name in addresses:
+            raise ListError(f"members.{i}.id comes twice: {name!r:.40}")
+        if phase not in STATES:
+            raise ListError(f"members.{i}.phase is unknown: {phase!r:.40}")
+        host, _, port = at.rpartition(":") if isinstance(at, str) else ("", "", "")
+        if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+            raise ListError(f"members.{i}.host_port is no address: {at!r:.40}")
+        figures = [m.get("cell", 0), m.get("size", 1.0), m.get("up_since_ms", 0)]
+        for key, figure in zip(("cell", "size", "up_since_ms"), figures, strict=True):
+            if type(figure) not in (int, float) or figure < 0:
+                raise ListError(f"members.{i}.{key} must be a number, 0 or more")
+        addresses[name] = host, int(port)
+        entries.append(t.ServerEntry(
+            name, STATES[phase], index(settings.zones, m.get("locality")), int(figures[0]), float(figures[1]),
+            index(settings.kinds, m.get("flavor")), figures[2] / 1000))
+    return ResolverResult(revision, raw["complete"], tuple(entries), addresses)
+
+
+class Watch:
+    """One endless watch; each good list goes to `told`, a bad one is logged and kept out."""
+
+    def __init__(self, reactor: Any, at: tuple[str, int], settings: t.Settings,
+                 told: Callable[[ResolverResult], None]) -> None:
+        self.reactor, self.settings, self.told = reactor, settings, told
+        self.url = f"http://{at[0]}:{at[1]}/v1/servers".encode()
+        self.pool = HTTPConnectionPool(reactor, persistent=True)
+        self.pool.retryAutomatically = False
+        self.agent = Agent(reactor, connectTimeout=1.0, pool=self.pool)
+        self.revision: int | None = None  # of the list held; None asks for the whole of it
+        self.running, self.failing = False, False
+
+    @inlineCallbacks
+    def run(self) -> Any:
+        """Call again and again; after a failure or a bad list ask for all of it."""
+        self.running = True
+        while self.running:
+            try:
+                result = yield from self.call()
+            except Exception as error:  # discovery may be down, silent or wrong: the list held goes on
+                count("resolver_failed")
+                if not self.failing:
+                    log.warn("resolver: {error}", error=f"{type(error).__name__}: {error}")
+                self.failing, self.revision = True, None
+                yield deferLater(self.reactor, AGAIN)
+                continue
+            self.failing, self.revision = False, result.revision
+            if result.complete or result.entries:
+                self.told(result)
+
+    @inlineCallbacks
+    def call(self) -> Any:
+        """One call: the whole list at once, or what is newer than the list held."""
+        url, limit = self.url, PLAIN_LATE
+        if self.revision is not None:
+            url = b"%b?after=%d&wait_ms=%d" % (url, self.revision, WAIT_MS)
+            limit = WAIT_MS / 1000 + ANSWER_LATE
+        asked = self.agent.request(b"GET", url)
+        asked.addTimeout(limit, self.reactor)
+        response = yield asked
+        reading = readBody(response)
+        reading.addTimeout(PLAIN_LATE, self.reactor)
+        body = yield reading
+        if response.code != 200:
+            raise ListError(f"discovery answered {response.code}")
+        return parse_list(orjson.loads(body), self.settings)
+
+    def stop(self) -> None:
+        """Make no further call."""
+        self.running = False
--- /dev/null
+++ b/corkdeal/net/resp.py
@@ -0,0 +1,161 @@
+"""RESP2 heads, parsed in place as bytes come in; no sockets and no decisions.
+
+A frame is a buffer and the offsets of its items, so values are never copied on their way through.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+MOST_VALUE = 64 * 1024  # bytes in one value
+MOST_LINE = 4096  # bytes in a simple string or an error line
+MOST_ITEMS = 64  # items in one frame, nested ones counted
+ARRAY, BULK, SIMPLE, ERROR, INTEGER = b"*$+-:"
+KINDS = frozenset((ARRAY, BULK, SIMPLE, ERROR, INTEGER))
+
+
+class Malformed(ValueError):
+    """Bytes that are no RESP2, or more of them than allowed."""
+
+
+@dataclass(slots=True)
+class Item:
+    """One item: offsets of its head, its content and its end; `size` is -1 for null."""
+
+    kind: int
+    head: int
+    start: int
+    stop: int
+    end: int
+    size: int
+
+
+@dataclass(slots=True)
+class Frame:
+    """One whole command or reply, left where it arrived."""
+
+    buf: bytes | bytearray
+    items: list[Item]
+
+    def text(self, i: int) -> bytes:
+        """A copy of an item's content, for the short ones."""
+        item = self.items[i]
+        return bytes(self.buf[item.start:item.stop])
+
+    def is_command(self) -> bool:
+        """An array of bulk strings, one at least and none of them null."""
+        top, words = self.items[0], self.items[1:]
+        return (top.kind == ARRAY and 0 < top.size == len(words)
+                and all(i.kind == BULK and i.size >= 0 for i in words))
+
+
+class Parser:
+    """Frames from bytes fed in pieces; it keeps its place, so no byte is looked at twice."""
+
+    def __init__(self) -> None:
+        self.buf: bytes | bytearray = b""
+        self.at = 0  # first byte not yet parsed
+        self.begin = 0  # first byte of the frame being parsed
+        self.need = 0  # bytes the buffer must hold before another look pays
+        self.left = 1  # items to come
+        self.items: list[Item] = []
+
+    @property
+    def midway(self) -> bool:
+        """Whether part of a frame has come."""
+        return len(self.buf) > self.begin
+
+    def feed(self, data: bytes) -> None:
+        """Take more bytes; a frame that came whole in one piece stays in that piece."""
+        if len(self.buf) == self.begin:
+            self.buf, self.at, self.begin, self.need = data, 0, 0, 0
+        elif self.begin or not isinstance(self.buf, bytearray):
+            self.shift()
+            self.buf += data
+        else:
+            self.buf += data  # grows in place; earlier frames never share a growing buffer
+
+    def shift(self) -> None:
+        """Move an unfinished frame to a buffer of its own."""
+        by, self.buf = self.begin, bytearray(memoryview(self.buf)[self.begin:])
+        self.at, self.need, self.begin = self.at - by, self.need - by, 0
+        for i in self.items:
+            i.head, i.start, i.stop, i.end = i.head - by, i.start - by, i.stop - by, i.end - by
+
+    def next(self) -> Frame | None:
+        """The next whole frame, or None until more bytes come."""
+        buf, have = self.buf, len(self.buf)
+        if have < self.need:
+            return None
+        while self.left:
+            at = self.at
+            if at >= have:
+                return None
+            kind = buf[at]
+            if kind not in KINDS:
+                raise Malformed(f"unexpected byte {kind:#04x}")
+            stop = buf.find(b"\r\n", at + 1, at + MOST_LINE)
+            if stop < 0:
+                if have - at >= MOST_LINE:
+                    raise Malformed("line too long")
+                return None
+            end = stop + 2
+            if kind in (BULK, ARRAY):
+                size = self.number(at + 1, stop)
+                if kind == BULK and size >= 0:
+                    start, stop = end, end + size
+                    end = stop + 2
+                    if have < end:
+                        self.need = end
+                        return None
+                    if buf[stop] != 13 or buf[stop + 1] != 10:
+                        raise Malformed("value does not end where it should")
+                    item = Item(kind, at, start, stop, end, size)
+                else:
+                    item = Item(kind, at, end, end, end, size)
+                    self.left += max(0, size)
+                if len(self.items) + self.left > MOST_ITEMS + 1:
+                    raise Malformed("too many items")
+            else:
+                item = Item(kind, at, at + 1, stop, end, stop - at - 1)
+            self.items.append(item)
+            self.left -= 1
+            self.at = end
+        frame = Frame(buf, self.items)
+        self.begin, self.left, self.items = self.at, 1, []
+        return frame
+
+    def number(self, start: int, stop: int) -> int:
+        """The length in a head; -1 stands for null."""
+        raw = self.buf[start:stop]
+        if raw == b"-1":
+            return -1
+        if not raw.isdigit() or len(raw) > 8:
+            raise Malformed("bad length")
+        if (size := int(raw)) > MOST_VALUE:
+            raise Malformed("value too long")
+        return size
+
+
+def command(*words: bytes) -> bytes:
+    """A short command, written whole."""
+    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%b\r\n" % (len(w), w) for w in words)
+
+
+def fields_of(raw: bytes) -> list[tuple[bytes, bytes]]:
+    """Names and values of `a=1,b=2`; parts without a name are left out."""
+    return [(name, value) for part in raw.split(b",") for name, eq, value in (part.partition(b"="),) if eq]
+
+
+def report_of(raw: bytes, names: dict[str, str]) -> dict[str, float]:
+    """A load report: the fields that the settings name, as numbers; anything else is left out."""
+    report = {}
+    for name, value in fields_of(raw):
+        known = names.get(name.decode("latin-1"))
+        try:
+            figure = float(value)
+        except ValueError:
+            continue
+        if known and figure - figure == 0.0:  # neither infinite nor no number
+            report[known] = figure
+    return report
--- /dev/null
+++ b/corkdeal/net/subchannel.py
@@ -0,0 +1,252 @@
+"""Backend connections and their pool: one attempt at a time on each, warm ones used again."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory
+from twisted.protocols.basic import LineReceiver
+
+from .. import interface as t
+from . import gather
+from .invariants import count, holds
+from .resp import ARRAY, BULK, ERROR, SIMPLE, Frame, Item, Malformed, Parser
+from .rpc import RPC
+
+IDLE_PART = 0.8  # of the idle limit; a backend closes "at the latest" then, and a crossing send is a reset
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One attempt of an RPC, or a probe where there is none."""
+
+    rpc: RPC | None
+    number: int
+    server: str
+    sent_at: float
+    until: float
+    parts: list[gather.Part]
+    conn: Subchannel | None = None
+    over: bool = False
+
+
+@dataclass(slots=True)
+class Reply:
+    """What a backend answered: an outcome, and where its value and its report lie."""
+
+    status: t.Status
+    value: memoryview | None = None
+    report: bytes = b""
+
+
+def past(items: list[Item], i: int) -> int:
+    """Index of the item behind this one, nested items passed over."""
+    left = 1
+    while left and i < len(items):
+        left += max(0, items[i].size) - 1 if items[i].kind == ARRAY else -1
+        i += 1
+    return i
+
+
+def read_reply(frame: Frame) -> Reply:
+    """The outcome that a backend's answer stands for."""
+    top, items = frame.items[0], frame.items
+    if top.kind == ARRAY and top.size > 0:
+        stop = past(items, 1)
+        load = items[past(items, stop)] if past(items, stop) < len(items) else None
+        report = bytes(frame.buf[load.start:load.stop]) if load and load.kind == BULK else b""
+        if (items[1].kind == BULK and items[1].size >= 0) or (items[1].kind == ARRAY and items[1].size > 0):
+            return Reply(t.Status.OK, memoryview(frame.buf)[items[1].head:items[stop - 1].end], report)
+        return Reply(t.Status.ERROR, report=report)
+    line = frame.text(0)
+    word, _, rest = line.partition(b" ")
+    if top.kind == ERROR and word == b"BUSY":
+        return Reply(t.Status.FULL, report=rest)
+    if word in (b"SYNTAX", b"NOPERM"):
+        count(f"backend_{word.decode().lower()}")
+    return Reply(t.Status.ERROR, report=rest.rpartition(b" ")[2])
+
+
+def read_probe(frame: Frame) -> Reply:
+    """The outcome of a probe: a report, or any answer that is no error."""
+    ok = frame.items[0].kind in (BULK, SIMPLE) and frame.items[0].size >= 0
+    return Reply(t.Status.OK if ok else t.Status.ERROR, report=frame.text(0) if ok else b"")
+
+
+class Subchannel(LineReceiver):
+    """One connection to a backend: a LineReceiver in raw mode; giving up its attempt ends it."""
+
+    line_mode = 0
+
+    def __init__(self, pool: Pool, server: str, attempt: Attempt) -> None:
+        self.pool, self.server, self.parser = pool, server, Parser()
+        self.attempt: Attempt | None = attempt
+        self.up = self.ended = False
+        self.idle_since = 0.0
+        self.connector: Any = None
+        attempt.conn = self
+
+    def connectionMade(self) -> None:
+        """Up: write the attempt that it was opened for."""
+        self.up = True
+        self.transport.setTcpNoDelay(True)
+        if self.attempt is None:
+            return self.close()
+        self.begin(self.attempt)
+
+    def begin(self, attempt: Attempt) -> None:
+        """Write an attempt; from its first byte on it counts as sent."""
+        self.attempt, attempt.conn = attempt, self
+        gather.write(self.transport, attempt.parts)
+
+    def rawDataReceived(self, data: bytes) -> None:
+        """The answer; bytes that nobody asked for end the connection."""
+        if self.attempt is None:
+            if not self.ended:
+                count("subchannel_unasked")
+                self.close()
+            return
+        try:
+            self.parser.feed(data)
+            frame = self.parser.next()
+            reply = frame and (read_reply if self.attempt.rpc else read_probe)(frame)
+        except Malformed:  # no whole answer came, and it may have run
+            count("subchannel_malformed")
+            return self.pool.give_up(self.attempt, t.Status.RESET)
+        if reply:
+            attempt, self.attempt = self.attempt, None
+            if self.parser.midway:
+                count("subchannel_unasked")
+                self.close()
+            else:
+                self.pool.keep(self)
+            self.pool.finish(attempt, reply)
+
+    def close(self) -> None:
+        """End it now. Twisted's abort waits for the next turn, and by then another attempt may be out."""
+        if self.ended:
+            return
+        self.ended, self.attempt = True, None
+        self.pool.forget(self)
+        if self.up:
+            try:
+                self.transport.getHandle().shutdown(socket.SHUT_RDWR)
+            except OSError:
+                count("shutdown_on_broken_connection")
+            self.transport.abortConnection()
+        elif self.connector is not None:
+            self.connector.stopConnecting()
+
+    def lost(self) -> None:
+        """It never came up, or broke: the attempt ran only if its last byte was written."""
+        if self.ended:
+            return
+        attempt, self.ended, self.attempt = self.attempt, True, None
+        self.pool.forget(self)
+        if attempt:
+            whole = self.up and not gather.pending(self.transport)
+            self.pool.finish(attempt, Reply(t.Status.RESET if whole else t.Status.CONNECT_FAILED))
+
+    def connectionLost(self, reason: Any = None) -> None:
+        """Broken, closed by the backend, or closed here."""
+        self.lost()
+
+
+class Dial(ClientFactory):
+    """Opens one subchannel."""
+
+    noisy = False
+
+    def __init__(self, conn: Subchannel) -> None:
+        self.conn = conn
+
+    def buildProtocol(self, addr: Any) -> Subchannel:
+        """The subchannel that was waiting for it."""
+        return self.conn
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
+        """Refused, or not up in time."""
+        self.conn.lost()
+
+
+class Pool:
+    """All subchannels, by backend; `finished` hears how each attempt ended, exactly once."""
+
+    def __init__(self, reactor: Any, settings: t.Settings, most: int, now: Callable[[], float],
+                 finished: Callable[[Attempt, Reply], None]) -> None:
+        self.reactor, self.most, self.now, self.finished = reactor, most, now, finished
+        self.connect_timeout, self.idle_limit = settings.connect_timeout, settings.conn_idle * IDLE_PART
+        self.addresses: dict[str, tuple[str, int]] = {}
+        self.idle: dict[str, list[Subchannel]] = {}
+        self.open: set[Subchannel] = set()
+
+    def send(self, attempt: Attempt) -> None:
+        """Write the attempt on the connection that was used last, or on a new one."""
+        spare, oldest = self.idle.get(attempt.server), self.now() - self.idle_limit
+        while spare:
+            conn = spare.pop()
+            if conn.idle_since > oldest:
+                return conn.begin(attempt)
+            conn.close()
+        if len(self.open) >= self.most:
+            self.make_room()
+        at = self.addresses.get(attempt.server)
+        if at is None or len(self.open) >= self.most:
+            count("subchannel_none_left" if at else "subchannel_without_address")
+            return self.finish(attempt, Reply(t.Status.CONNECT_FAILED))
+        conn = Subchannel(self, attempt.server, attempt)
+        self.open.add(conn)
+        conn.connector = self.reactor.connectTCP(*at, Dial(conn), timeout=self.connect_timeout)
+
+    def make_room(self) -> None:
+        """Close the connection that has stood idle for longest."""
+        if spare := [conns[0] for conns in self.idle.values() if conns]:
+            min(spare, key=lambda c: c.idle_since).close()
+
+    def keep(self, conn: Subchannel) -> None:
+        """Hold a connection for the next attempt."""
+        conn.idle_since = self.now()
+        self.idle.setdefault(conn.server, []).append(conn)
+
+    def forget(self, conn: Subchannel) -> None:
+        """Let go of a connection that has ended."""
+        self.open.discard(conn)
+        if conn in (spare := self.idle.get(conn.server, [])):
+            spare.remove(conn)
+
+    def finish(self, attempt: Attempt, reply: Reply) -> None:
+        """Tell how an attempt ended."""
+        if holds(not attempt.over, "second_outcome"):
+            attempt.over, attempt.conn, attempt.parts = True, None, []
+            self.finished(attempt, reply)
+
+    def give_up(self, attempt: Attempt, status: t.Status) -> None:
+        """Stop waiting; its connection ends, so a late answer reaches nobody."""
+        if not attempt.over:
+            if attempt.conn:
+                attempt.conn.close()
+            self.finish(attempt, Reply(status))
+
+    def close_idle(self, server: str) -> None:
+        """Close a backend's idle connections."""
+        for conn in list(self.idle.pop(server, ())):
+            conn.close()
+
+    def told(self, server: str, ready: bool, at: tuple[str, int]) -> None:
+        """Follow the list. Attempts connecting to a drained backend end: their first byte could come late."""
+        moved, self.addresses[server] = self.addresses.get(server, at) != at, at
+        if not ready or moved:
+            self.close_idle(server)
+            for conn in [c for c in self.open if c.server == server and not c.up and c.attempt]:
+                count("subchannel_drained_while_connecting")
+                self.give_up(conn.attempt, t.Status.CONNECT_FAILED)
+
+    def sweep(self) -> None:
+        """Retire connections before the backends do."""
+        oldest = self.now() - self.idle_limit
+        for conns in self.idle.values():
+            for conn in [c for c in conns if c.idle_since <= oldest]:
+                conn.close()
--- a/corkdeal/wire.py
+++ b/corkdeal/wire.py
@@ -117,7 +117,7 @@
         effect=word(pairs, at + "semantics", EFFECT, "side_effect"),
         group=word(pairs, at + "group", {g.value: g for g in t.Group}, "all"),
         window=number(pairs, at + "window_us", 0.0) / US, stream=flag(pairs, at + "streaming"),
-        aim_stretch=number(pairs, at + "aim_stretch", 0.0))
+        aim_stretch=number(pairs, at + "aim_stretch", 0.0), name=pairs.get(at + "name", ""))
 
 
 def parse_plan(pairs: dict[str, str], at: str) -> t.Plan:
@@ -128,15 +128,23 @@
         over_worth=number(pairs, at + "over_worth", 0.0), over_cost=number(pairs, at + "over_cost", 0.0),
         ceiling_rate=number(pairs, at + "never_over_rate", 0.0),
         ceiling_burst=number(pairs, at + "hard_burst", 0.0),
-        ceiling_slack=number(pairs, at + "ceiling_slack", 0.0))
+        ceiling_slack=number(pairs, at + "ceiling_slack", 0.0), name=pairs.get(at + "name", ""))
 
 
 def parse_settings(text: str) -> t.Settings:
     """Settings from path=value lines; unknown paths are skipped."""
-    pairs = dict(line.partition("=")[::2] for line in text.splitlines() if "=" in line)
+    return settings_from(dict(line.partition("=")[::2] for line in text.splitlines() if "=" in line))
+
+
+def words(pairs: dict[str, str], key: str) -> tuple[str, ...]:
+    """A setting that is a list of words."""
+    return tuple(w for w in pairs.get(key, "").split(",") if w)
+
+
+def settings_from(pairs: dict[str, str]) -> t.Settings:
+    """Settings from values by path, as text; the simulator's host and the real gateway share this."""
     count = int(number(pairs, "classes.count", least=1))
     plans = int(number(pairs, "tiers_of_service.count", least=1))
-    fields = [f for f in pairs.get("telemetry.columns", "").split(",") if f]
     gateways, me = int(number(pairs, "balancers", least=1)), int(number(pairs, "me"))
     return t.Settings(
         me=me, gateways=gateways, zone=int(number(pairs, "zone", 0.0)),
@@ -145,7 +153,7 @@
         tick=number(pairs, "granularity_us", 1000.0) / US,
         list_pushed=pairs.get("membership_mode", "pushed") != "on_request",
         ask_every=number(pairs, "rules.ask_every_us", 10e6) / US,
-        report_fields=tuple(REPORT_FIELD.get(f, f) for f in fields),
+        report_fields=tuple(REPORT_FIELD.get(f, f) for f in words(pairs, "telemetry.columns")),
         max_attempts=int(number(pairs, "policy_limits.max_attempts", 1.0)),
         may_cancel=flag(pairs, "policy_limits.cancel"), may_probe=flag(pairs, "policy_limits.may_probe"),
         may_tell_peers=flag(pairs, "policy_limits.peers"),
@@ -153,6 +161,8 @@
         max_advised_wait=number(pairs, "policy_limits.max_retry_after_us", 0.0) / US,
         marks_retry=flag(pairs, "client_habits.marks_retry"),
         connect_timeout=number(pairs, "policy_limits.connect_timeout_us", 250000.0) / US,
+        conn_idle=number(pairs, "policy_limits.conn_idle_us", 30e6) / US,
+        zones=words(pairs, "failure_domains"), kinds=words(pairs, "host_types"),
         counter=flag(pairs, "family_info.counter"),
         counter_timeout=number(pairs, "family_info.counter_timeout_us", 0.0) / US,
         meter_period=number(pairs, "family_info.meter_us", 0.0) / US,
