Test each rule with real sockets and the parsers by tables, on both builds

A reset by a backend had to be an ended stream in the tests: closing a socket that another thread reads sends nothing.

--- /dev/null
+++ b/tests/test_net_parsers.py
@@ -0,0 +1,221 @@
+"""Tables of cases for what is parsed, and the gateway's guards that need no socket."""
+
+import dataclasses
+import json
+import subprocess
+import sys
+import unittest
+
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+
+from corkdeal import interface as t
+from corkdeal.net import config, gateway, invariants, resolver, resp, subchannel
+
+from .net_world import ROOT, SETTINGS
+
+GIVEN = {"listen": "127.0.0.1:6379", "discovery": "127.0.0.1:8500", "seed": "8c1f", "settings": SETTINGS}
+MEMBER = {
+    "id": "s-1",
+    "host_port": "127.0.0.1:1",
+    "locality": "south",
+    "flavor": "new",
+    "cell": 3,
+    "phase": "Ready",
+    "size": 1.5,
+    "up_since_ms": 1500,
+}
+LIST = {"revision": 4, "complete": True, "members": [MEMBER]}
+
+
+def changed(base, path, value):
+    """A copy with one value set, or taken out where it is None."""
+    copy = at = json.loads(json.dumps(base))
+    *way, last = path.split(".")
+    for key in way:
+        at = at[int(key) if isinstance(at, list) else key]
+    at[int(last) if isinstance(at, list) else last] = value
+    return copy
+
+
+class Heads(unittest.TestCase):
+    FRAMES = [
+        b"*2\r\n$4\r\nPING\r\n$0\r\n\r\n",
+        b"+PONG\r\n",
+        b"-BUSY 20\r\n",
+        b"$-1\r\n",
+        b":7\r\n",
+        b"*-1\r\n",
+        b"*3\r\n*2\r\n$1\r\na\r\n:1\r\n$-1\r\n$3\r\na=1\r\n",
+        b"*1\r\n$70\r\n" + b"\r\n" * 35 + b"\r\n",
+    ]
+    BAD = [
+        b"x",
+        b"$x\r\n",
+        b"$-2\r\n",
+        b"$3\r\nabcd\r\n",
+        b"*65\r\n",
+        b"$65537\r\n",
+        b"*2\r\n*32\r\n*32\r\n",
+        b"+" + b"a" * 4096,
+    ]
+
+    def test_pieces_of_any_size_give_the_same_frames(self):
+        raw = b"".join(self.FRAMES)
+        for size in (1, 2, 3, 7, 20, len(raw)):
+            parser, got = resp.Parser(), []
+            for i in range(0, len(raw), size):
+                parser.feed(raw[i : i + size])
+                while (frame := parser.next()) is not None:
+                    got.append((frame, bytes(frame.buf[frame.items[0].head : frame.items[-1].end])))
+            self.assertEqual([text for _, text in got], self.FRAMES)
+            for frame, text in got:  # later bytes must not change what a frame holds
+                self.assertEqual(bytes(frame.buf[frame.items[0].head : frame.items[-1].end]), text)
+            self.assertFalse(parser.midway)
+
+    def test_malformed(self):
+        for raw in self.BAD:
+            with self.subTest(raw[:20]), self.assertRaises(resp.Malformed):
+                parser = resp.Parser()
+                parser.feed(raw)
+                parser.next()
+
+    def test_reports(self):
+        names = {"latency_ms": "latency_ms", "qps": "qps"}
+        for raw, report in [
+            (b"latency_ms=1.5,qps=4", {"latency_ms": 1.5, "qps": 4.0}),
+            (b"", {}),
+            (b"qps=nan,latency_ms=inf,other=1,qps", {}),
+            (b"qps=x,latency_ms=2", {"latency_ms": 2.0}),
+        ]:
+            self.assertEqual(resp.report_of(raw, names), report)
+
+    def test_replies(self):
+        S = t.Status
+        for raw, status, value, report in [
+            (b"*3\r\n$1\r\nv\r\n$-1\r\n$5\r\nqps=1\r\n", S.OK, b"$1\r\nv\r\n", b"qps=1"),
+            (b"*3\r\n*2\r\n:1\r\n*1\r\n:2\r\n$-1\r\n$-1\r\n", S.OK, b"*2\r\n:1\r\n*1\r\n:2\r\n", b""),
+            (b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", S.ERROR, None, b""),
+            (b"*0\r\n", S.ERROR, None, b""),
+            (b"-BUSY\r\n", S.FULL, None, b""),
+            (b"-BUSY qps=2\r\n", S.FULL, None, b"qps=2"),
+            (b"-ERR failed qps=2\r\n", S.ERROR, None, b"qps=2"),
+            (b"+OK\r\n", S.ERROR, None, b""),
+        ]:
+            with self.subTest(raw):
+                parser = resp.Parser()
+                parser.feed(raw)
+                reply = subchannel.read_reply(parser.next())
+                self.assertEqual(
+                    (reply.status, reply.value and bytes(reply.value), reply.report), (status, value, report)
+                )
+
+
+class Lists(unittest.TestCase):
+    def setUp(self):
+        self.settings = config.settings_of(SETTINGS)
+
+    def test_a_list_in_the_modules_terms(self):
+        result = resolver.parse_list(LIST, self.settings)
+        self.assertEqual(result.entries, (t.ServerEntry("s-1", t.ServerState.READY, 1, 3, 1.5, 1, 1.5),))
+        self.assertEqual(
+            (result.revision, result.complete, result.addresses), (4, True, {"s-1": ("127.0.0.1", 1)})
+        )
+
+    def test_bad_lists_are_refused_by_key(self):
+        for path, value in [
+            ("revision", "4"),
+            ("complete", None),
+            ("members", {}),
+            ("members.0.id", ""),
+            ("members.0.phase", "Odd"),
+            ("members.0.host_port", "x"),
+            ("members.0.cell", "1"),
+            ("members.0.up_since_ms", -1),
+            ("members", [MEMBER, MEMBER]),
+            ("members", [1]),
+        ]:
+            with self.subTest(path), self.assertRaisesRegex(resolver.ListError, path.split(".")[-1]):
+                resolver.parse_list(changed(LIST, path, value), self.settings)
+
+
+class Configurations(unittest.TestCase):
+    def test_what_is_left_out_has_a_default(self):
+        got = config.read(json.dumps({**GIVEN, "known": LIST}).encode(), {})
+        self.assertEqual(
+            (got.name, got.listen, got.sockets, got.seed, got.peers),
+            ("gateway", ("127.0.0.1", 6379), 1024, 0x8C1F, ()),
+        )
+        self.assertEqual(got.settings.classes[1].name, "note")
+        self.assertEqual(got.settings.report_fields, ("latency_ms", "qps"))
+        self.assertEqual(got.known.revision, 4)
+        bare = {k: v for k, v in GIVEN.items() if k != "listen"}
+        self.assertEqual(config.read(json.dumps(bare).encode(), {"RELAY_LISTEN": "127.0.0.1:1"}).listen[1], 1)
+
+    def test_messages_name_the_key(self):
+        for path, value, key in [
+            ("listen", "localhost:1", "listen"),
+            ("discovery", "127.0.0.1:0", "discovery"),
+            ("seed", "x", "seed"),
+            ("settings", None, "settings"),
+            ("settings.me", 2, "me"),
+            ("settings.balancers", "no", "balancers"),
+            ("settings.classes.0.aim_us", 0, "classes.0.aim_us"),
+            ("limits", {"sockets": 3}, "limits.sockets"),
+            ("settings.classes.1.semantics", "odd", "classes.1.semantics"),
+            ("peers", ["127.0.0.1:1"], "peers"),
+            ("peers", ["127.0.0.1:1", "x"], "peers.1"),
+            ("known", {"revision": 1}, "known"),
+            ("settings.tiers_of_service", [], "tiers_of_service"),
+            ("limits", 4, "limits"),
+        ]:
+            with self.subTest(path, value=value), self.assertRaisesRegex(config.ConfigError, key):
+                config.read(json.dumps(changed(GIVEN, path, value)).encode(), {})
+
+    def test_the_program_ends_with_one_line_and_2(self):
+        for env in ({}, {"RELAY_CONFIG": "/no/such/file"}, {"RELAY_CONFIG": str(ROOT / "README.md")}):
+            done = subprocess.run(
+                [sys.executable, "-m", "corkdeal.net"], cwd=ROOT, env=env, capture_output=True
+            )
+            self.assertEqual(
+                (done.returncode, done.stdout, done.stderr.count(b"\n")), (2, b"", 1), done.stderr
+            )
+
+
+class Guards(unittest.TestCase):
+    def setUp(self):
+        self.reactor = MemoryReactorClock()
+        given = config.read(json.dumps({**GIVEN, "known": LIST}).encode(), {})
+        self.gateway = gateway.Gateway(self.reactor, dataclasses.replace(given, sockets=256))
+        self.gateway.feed(t.ServerList(t.ListKind.CACHED, given.known.entries))
+        invariants.counts.clear()
+
+    def channel(self):
+        made = gateway.channel.Channels(self.gateway).buildProtocol(None)
+        made.makeConnection(transport := StringTransport())
+        transport.setTcpNoDelay = lambda on: None
+        return made
+
+    def test_an_exception_in_the_module_costs_its_request_only(self):
+        self.gateway.decisions.handle = lambda now, events: 1 / 0
+        self.gateway.decisions.out = []
+        answers = []
+        rpc = type(
+            "R",
+            (),
+            {
+                "request": t.Request(1, 1, 0, 0, 1.0, 0, 1, 1.0),
+                "attempt": None,
+                "done": False,
+                "channel": type("C", (), {"answer": lambda _, rpc, reply: answers.append(reply)})(),
+            },
+        )()
+        self.gateway.take(rpc)
+        self.assertEqual((answers, self.gateway.rpcs), ([[b"-ERR failed\r\n"]], {}))
+        self.assertEqual(invariants.counts["module_failed"], 1)
+
+    def test_invariants_are_asserted_or_counted_by_build(self):
+        with self.assertRaisesRegex(AssertionError, "odd"):
+            invariants.holds(False, "odd")
+        text = "from corkdeal.net import invariants as i; i.holds(0, 'odd'); i.holds(1, 'even'); print(i.report())"
+        done = subprocess.run([sys.executable, "-O", "-c", text], cwd=ROOT, capture_output=True, check=True)
+        self.assertEqual(done.stdout, b"odd=1\n")
--- /dev/null
+++ b/tests/test_net_rules.py
@@ -0,0 +1,235 @@
+"""One test with real sockets for each rule; all of them run on the debug and on the release build."""
+
+import contextlib
+import signal
+import time
+
+from corkdeal.net.resp import MOST_VALUE, command
+
+from .net_world import Program, served
+
+
+class DebugBuild(Program):
+    """The program with its invariants asserted."""
+
+    def test_answer_comes_in_time_and_a_late_one_reaches_nobody(self):
+        self.start(a={})
+        client = self.client()
+        self.ask(client, b"pay", d=400, body=b"x")
+        first = self.world.next()
+        self.assertLessEqual(int(first.params[b"d"]), 400)
+        (answer,), took = self.timed(client.read)
+        self.assertTrue(answer.startswith(b"ERR"), answer)
+        self.assertLess(took, 2.0)
+        self.assertTrue(first.ended.wait(20))
+        with contextlib.suppress(OSError):
+            first.conn.send(served(b"late"))
+        self.ask(client, rid=2)
+        self.world.next().conn.send(served(b"own"))
+        self.assertEqual(client.read(), [b"own"])
+
+    def test_command_goes_on_unchanged_but_for_the_wait(self):
+        self.start(a={})
+        client, body = self.client(), bytes(range(256)) * 256
+        words = self.words(b"note", rid=2**63 + 5, more=b",k=5c0f6e1a2b3d4c59", body=body)
+        whole = command(*words)
+        client.send(whole[:90])  # in two pieces, so that the head has to wait
+        client.send(whole[90:])
+        asked = self.world.next()
+        self.assertEqual(asked.words[:3] + asked.words[4:], words[:3] + words[4:])
+        sent = words[3].replace(b"d=3000", b"d=%b" % asked.params[b"d"])
+        self.assertEqual(asked.words[3], sent)
+        asked.conn.send(served(body))
+        self.assertEqual(client.read(), [body])
+
+    def test_resends_as_the_class_permits(self):
+        self.start(a={"cell": 1}, b={"cell": 2}, c={"cell": 1})
+        for cls, more, stays in ((b"look", b"", None), (b"note", b",k=ab", 1), (b"pay", b"", 0)):
+            with self.subTest(cls):
+                client = self.client()
+                self.ask(client, cls, more=more, body=b"x")
+                first = self.world.next()
+                first.conn.end()
+                if cls == b"pay":
+                    self.assertEqual(client.read(), [b"ERR failed"])
+                    continue
+                if stays and first.backend.name == "b":  # alone in its cell: nowhere else to go
+                    again = self.world.next()
+                    self.assertEqual(again.backend.name, "b")
+                else:
+                    again = self.world.next()
+                    self.assertIsNot(again.backend, first.backend)
+                    if stays:
+                        self.assertEqual(again.backend.entry["cell"], first.backend.entry["cell"])
+                self.assertEqual(again.words[:3], first.words[:3])
+                again.conn.send(served())
+                self.assertEqual(client.read(), [b"v"])
+
+    def test_never_two_attempts_at_once(self):
+        self.start(a={}, b={})
+        client = self.client()
+        self.ask(client)
+        first, second = self.world.next(), self.world.next()  # the first hangs, so it is moved
+        self.assertTrue(first.ended.wait(20))
+        self.assertIsNot(first.backend, second.backend)
+        second.conn.send(served())
+        self.assertEqual(client.read(), [b"v"])
+
+    def test_nothing_new_to_what_drains_and_a_bad_list_is_kept_out(self):
+        self.start(a={}, b={})
+        self.world.tell(a="Terminating")
+        client = self.client()
+        for rid in range(8):
+            if rid == 4:
+                self.world.tell(raw=b'{"revision":9,"complete":true,"members":[{"id":""}]}')
+                self.line("members.0.id")
+            self.ask(client, rid=rid)
+            asked = self.world.next()
+            self.assertEqual(asked.backend.name, "b")
+            asked.conn.send(served())
+            self.assertEqual(client.read(), [b"v"])
+
+    def test_cold_backend_is_not_pushed_over(self):
+        self.start(a={"up_since_ms": int(time.time() * 1000)})
+        clients = [self.client() for _ in range(60)]
+        for rid, client in enumerate(clients):
+            self.ask(client, rid=rid, d=900)
+        refused = [answer for client in clients if (answer := client.read()[0]).startswith(b"BUSY")]
+        self.assertEqual(len(refused) + self.world.asked.qsize(), 60)
+        self.assertGreater(len(refused), 30)
+
+    def test_quota_is_kept_and_refusals_come_at_once_with_advice(self):
+        self.start(a={})
+        client = self.client()
+        for rid in range(2):
+            self.ask(client, customer=1, rid=rid)
+            self.world.next().conn.send(served())
+            self.assertEqual(client.read(), [b"v"])
+        self.ask(client, customer=1, rid=3)
+        (answer,), took = self.timed(client.read)
+        self.assertEqual(answer, b"BUSY 500")
+        self.assertLess(took, 1.5)
+        self.assertTrue(self.world.asked.empty())
+
+    def test_peers_are_told_and_strange_datagrams_dropped(self):
+        self.start(a={})
+        client = self.client()
+        client.send(command(*self.words(b"look")[:3], b"c=look,t=large,d=900,units=1,spread=2,first=0"))
+        host, port = self.udp.split(":")
+        for junk in (b"junk", b"", b"x" * 257):
+            self.peer.sendto(junk, (host, int(port)))
+        datagram, sender = self.peer.recvfrom(2048)
+        self.assertEqual(f"{sender[0]}:{sender[1]}", self.udp)
+        self.assertLessEqual(len(datagram), 256)
+        self.world.next().conn.send(served())
+        self.assertEqual(client.read(), [b"v"])
+        self.process.send_signal(signal.SIGTERM)
+        self.assertIn("datagram_malformed=2", self.line("counts:"))
+
+    def test_pipelined_answers_keep_their_order_and_a_half_closed_channel_is_served(self):
+        self.start(a={}, b={})
+        client = self.client()
+        client.send(
+            b"".join(command(*self.words(b"pay", rid=rid, body=b"%d" % rid)) for rid in range(3))
+            + command(b"PING")
+            + command(b"NOSUCH")
+        )
+        client.sock.shutdown(1)
+        asked = sorted((self.world.next() for _ in range(3)), key=lambda a: a.words[2], reverse=True)
+        for each in asked:
+            each.conn.send(served(each.words[4]))
+        self.assertEqual(
+            [client.read() for _ in range(5)], [[b"0"], [b"1"], [b"2"], [b"PONG"], [b"ERR unknown command"]]
+        )
+        self.assertIsNone(client.read())
+
+    def test_a_client_that_goes_away_harms_nobody(self):
+        self.start(a={})
+        client, other = self.client(), self.client()
+        self.ask(client)
+        asked = self.world.next()
+        client.reset()
+        asked.conn.send(served(b"for nobody"))
+        self.ask(other, rid=2)
+        self.world.next().conn.send(served(b"mine"))
+        self.assertEqual(other.read(), [b"mine"])
+
+    def test_malformed_input_costs_its_channel_only(self):
+        self.start(a={})
+        other = self.client()
+        for raw in (
+            b"GET / HTTP/1.1\r\n\r\n",
+            b"*1\r\n:5\r\n",
+            b"*2\r\n$4\r\nPING\r\n$-1\r\n",
+            b"*1\r\n$%d\r\n" % (MOST_VALUE + 1),
+            b"*100\r\n",
+            b"*" + b"9" * 5000,
+            b"*1\r\n$3\r\nPING\r\n",
+        ):
+            with self.subTest(raw[:20]):
+                client = self.client()
+                client.send(raw)
+                self.assertTrue(client.read()[0].startswith(b"ERR"))
+                self.assertIsNone(client.read())
+        other.send(command(b"PING"))
+        self.assertEqual(other.read(), [b"PONG"])
+
+    def test_bad_requests_get_an_error_and_the_channel_stays(self):
+        self.start(a={})
+        client, good = self.client(), self.words(b"look")
+        for params in (
+            b"",
+            b"c=no,t=large,d=900",
+            b"c=look,t=no,d=900",
+            b"c=look,t=large",
+            b"c=note,t=large,d=900",
+            b"c=look,t=large,d=-1",
+            b"c=look,t=large,d=9,first=7",
+            b"c=look,t=large,d=9,units=nan",
+        ):
+            with self.subTest(params):
+                client.send(command(*good[:3], params))
+                self.assertTrue(client.read()[0].startswith(b"ERR"))
+        for words in (good[:2], [good[0], b"zz", *good[2:]], [*good, b"x", b"x"]):
+            client.send(command(*words))
+            self.assertTrue(client.read()[0].startswith(b"ERR"))
+
+    def test_dead_backend_is_a_failed_connect_and_a_stale_connection_a_reset(self):
+        self.start(a={}, b={})
+        client = self.client()
+        self.ask(client)
+        warm = self.world.next()
+        warm.conn.send(served())
+        self.assertEqual(client.read(), [b"v"])
+        for backend in self.world.backends.values():
+            if backend is not warm.backend:
+                backend.listener.close()
+        for rid in range(2, 10):  # `pay` may be sent again only because nothing of it ran
+            self.ask(client, b"pay", rid=rid, body=b"x")
+            asked = self.world.next()
+            self.assertIs(asked.backend, warm.backend)
+            asked.conn.send(served())
+            self.assertEqual(client.read(), [b"v"])
+
+    def test_planned_end_serves_what_was_taken_and_new_connections_for_a_while(self):
+        self.start(a={})
+        client = self.client()
+        self.ask(client, d=8000)
+        asked = self.world.next()
+        self.process.send_signal(signal.SIGTERM)
+        self.line("draining")
+        late = self.client()
+        self.ask(late, rid=2)
+        second = self.world.next()
+        second.conn.send(served(b"late"))
+        self.assertEqual(late.read(), [b"late"])
+        self.assertIsNone(late.read())  # closed as it fell idle
+        asked.conn.send(served())
+        self.assertEqual(client.read(), [b"v"])
+        self.assertEqual(self.process.wait(20), 0)
+
+
+class ReleaseBuild(DebugBuild):
+    """The program as deploy/balancer.toml runs it."""
+
+    build = ("-O",)
