Bound what one channel may hold, and fetch the list without name look-ups or a thread

Seen in a trace of one request (strace): two recv, two sendmsg and two epoll_wait on warm connections, so nothing is left to take out there; but a second thread, which Agent's HostnameEndpoint starts to look up even an address. A TCP4ClientEndpoint needs neither. Log lines of Twisted's own below a warning are cut.

Checked: batching module calls by reactor turn. A DelayedCall per turn would cost more than the calls it saves, so events go to the module as they come; what its own actions cause at once still shares one call.

--- a/corkdeal/net/__main__.py
+++ b/corkdeal/net/__main__.py
@@ -8,6 +8,8 @@
 
 from . import config
 
+GC_EVERY = 5000  # allocations more than frees; requests leave few cycles behind
+
 
 def main() -> int:
     """Serve until a planned end; bad configuration ends it with one line."""
@@ -17,17 +19,27 @@
         print(f"corkdeal: {error}", file=sys.stderr)
         return 2
     from twisted.internet import reactor
-    from twisted.logger import globalLogBeginner, textFileLogObserver
+    from twisted.logger import (
+        FilteringLogObserver,
+        LogLevel,
+        LogLevelFilterPredicate,
+        globalLogBeginner,
+        textFileLogObserver,
+    )
 
     from .gateway import Gateway
 
-    globalLogBeginner.beginLoggingTo([textFileLogObserver(sys.stdout)], redirectStandardIO=False)
+    levels = LogLevelFilterPredicate(defaultLogLevel=LogLevel.warn)
+    levels.setLogLevelForNamespace("corkdeal", LogLevel.info)
+    observer = FilteringLogObserver(textFileLogObserver(sys.stdout), [levels])
+    globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False)
     gateway = Gateway(reactor, given)
     for each in (signal.SIGTERM, signal.SIGINT):
         signal.signal(each, lambda *_: reactor.callFromThread(gateway.drain))
     reactor.callWhenRunning(gateway.start)
     gc.collect()
     gc.freeze()  # what is loaded by now stays; later collections need not look at it
+    gc.set_threshold(GC_EVERY, 10, 50)
     reactor.run(installSignalHandlers=False)
     return 0
 
--- a/corkdeal/net/channel.py
+++ b/corkdeal/net/channel.py
@@ -16,6 +16,7 @@
 from .resp import Frame, Malformed, Parser
 from .rpc import READ, RPC, WRITE, BadRequest
 
+MOST_WAITING = 256  # commands of one channel without an answer; past that it is not read on
 LINGER = 1.0  # s that a refused channel is read on, so that its client can read why
 OK = b"+OK\r\n"
 
@@ -39,11 +40,12 @@
         self.gateway, self.parser = gateway, Parser()
         self.waiting: deque[RPC | Ready] = deque()  # in the order of their commands
         self.begun = 0.0  # when the first byte of a command that has not come whole was seen
-        self.half_closed = self.closing = self.refused = False
+        self.half_closed = self.closing = self.refused = self.held = False
 
     def connectionMade(self) -> None:
         """Join the others, unless all descriptors are in use."""
         self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)  # a client that reads no answers is not read either
         self.gateway.channels.add(self)
         if self.gateway.crowded():
             count("channel_refused")
@@ -78,6 +80,9 @@
                 return self.ready(b"-ERR %b\r\n" % str(error).encode())
             rpc.channel = self
             self.waiting.append(rpc)
+            if len(self.waiting) >= MOST_WAITING and not self.held:
+                self.held = True
+                self.pauseProducing()
             self.gateway.take(rpc)
         elif name == b"PING" and len(frame.items) == 2:
             self.ready(b"+PONG\r\n")
@@ -108,12 +113,22 @@
             parts += self.waiting.popleft().reply
         if parts and self.transport.connected:
             gather.write(self.transport, parts)
+        if self.held and len(self.waiting) < MOST_WAITING // 2:
+            self.held = False
+            if not self.transport.producerPaused:
+                self.resumeProducing()
         if not self.waiting:
             if self.refused:
+                self.transport.unregisterProducer()
                 self.transport.loseWriteConnection()
                 self.gateway.reactor.callLater(LINGER, self.transport.abortConnection)
             elif self.closing or self.half_closed:
-                self.transport.loseConnection()
+                self.end()
+
+    def end(self) -> None:
+        """Close once all is written. A transport with a paused producer would wait for it for ever."""
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
 
     def refuse(self, reply: bytes) -> None:
         """Answer what came before, then this, then end; closing at once could destroy it on its way."""
@@ -125,13 +140,13 @@
         if not self.closing and not self.refused:
             self.closing = True
             if not self.waiting and not self.parser.midway:
-                self.transport.loseConnection()
+                self.end()
 
     def readConnectionLost(self) -> None:
         """The client sends no more. It may still read, so what it asked for is answered first."""
         self.half_closed = True
         if not self.waiting:
-            self.transport.loseConnection()
+            self.end()
 
     def writeConnectionLost(self) -> None:
         """This side's own half-close; the other half ends the channel."""
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -82,7 +82,7 @@
 
     def open(self) -> None:
         """Let clients in; from here on PING is answered."""
-        if not self.started:
+        if not self.started and not self.draining:
             self.started = True
             self.port = channel.listen(self.reactor, self.config.listen, self)
             log.info("{name} serves on {at}", name=self.config.name, at=self.config.listen)
--- a/corkdeal/net/resolver.py
+++ b/corkdeal/net/resolver.py
@@ -8,9 +8,12 @@
 
 import orjson
 from twisted.internet.defer import inlineCallbacks
+from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.task import deferLater
 from twisted.logger import Logger
 from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.web.iweb import IAgentEndpointFactory
+from zope.interface import implementer
 
 from .. import interface as t
 from .invariants import count
@@ -20,7 +23,8 @@
 WAIT_MS = 20000  # how long one call of the watch may wait
 ANSWER_LATE = 1.5  # s past that after which a call counts as lost; the rules deem us told at 2 s
 PLAIN_LATE = 3.0  # s for a call that need not wait
-AGAIN = 0.1  # s before another try; the watch goes on only within 0.2 s of its last answer
+AGAIN, AGAIN_MOST = 0.1, 1.0  # s before another try after a failure, doubling
+CONNECT_LATE = 1.0  # s
 
 
 class ListError(ValueError):
@@ -78,6 +82,18 @@
     return ResolverResult(revision, raw["complete"], tuple(entries), addresses)
 
 
+@implementer(IAgentEndpointFactory)
+class Endpoint:
+    """The one address there is. Agent's own endpoints look names up, in a thread, even for an address."""
+
+    def __init__(self, reactor: Any, at: tuple[str, int]) -> None:
+        self.made = TCP4ClientEndpoint(reactor, *at, timeout=CONNECT_LATE)
+
+    def endpointForURI(self, uri: Any) -> TCP4ClientEndpoint:
+        """Discovery's endpoint."""
+        return self.made
+
+
 class Watch:
     """One endless watch; each good list goes to `told`, a bad one is logged and kept out."""
 
@@ -87,9 +103,9 @@
         self.url = f"http://{at[0]}:{at[1]}/v1/servers".encode()
         self.pool = HTTPConnectionPool(reactor, persistent=True)
         self.pool.retryAutomatically = False
-        self.agent = Agent(reactor, connectTimeout=1.0, pool=self.pool)
+        self.agent = Agent.usingEndpointFactory(reactor, Endpoint(reactor, at), self.pool)
         self.revision: int | None = None  # of the list held; None asks for the whole of it
-        self.running, self.failing = False, False
+        self.running, self.again = False, 0.0
 
     @inlineCallbacks
     def run(self) -> Any:
@@ -100,12 +116,12 @@
                 result = yield from self.call()
             except Exception as error:  # discovery may be down, silent or wrong: the list held goes on
                 count("resolver_failed")
-                if not self.failing:
+                if not self.again:
                     log.warn("resolver: {error}", error=f"{type(error).__name__}: {error}")
-                self.failing, self.revision = True, None
-                yield deferLater(self.reactor, AGAIN)
+                self.again, self.revision = min(AGAIN_MOST, max(AGAIN, 2 * self.again)), None
+                yield deferLater(self.reactor, self.again)
                 continue
-            self.failing, self.revision = False, result.revision
+            self.again, self.revision = 0.0, result.revision
             if result.complete or result.entries:
                 self.told(result)
 
--- a/corkdeal/net/resp.py
+++ b/corkdeal/net/resp.py
@@ -9,6 +9,7 @@
 
 MOST_VALUE = 64 * 1024  # bytes in one value
 MOST_LINE = 4096  # bytes in a simple string or an error line
+MOST_FRAME = 4 * MOST_VALUE  # bytes in one frame
 MOST_ITEMS = 64  # items in one frame, nested ones counted
 ARRAY, BULK, SIMPLE, ERROR, INTEGER = b"*$+-:"
 KINDS = frozenset((ARRAY, BULK, SIMPLE, ERROR, INTEGER))
@@ -91,6 +92,8 @@
             at = self.at
             if at >= have:
                 return None
+            if at - self.begin > MOST_FRAME:
+                raise Malformed("frame too long")
             kind = buf[at]
             if kind not in KINDS:
                 raise Malformed(f"unexpected byte {kind:#04x}")
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -56,6 +56,7 @@
         b"*65\r\n",
         b"$65537\r\n",
         b"*2\r\n*32\r\n*32\r\n",
+        b"*9\r\n" + (b"$%d\r\n%b\r\n" % (resp.MOST_VALUE, b"a" * resp.MOST_VALUE)) * 5,
         b"+" + b"a" * 4096,
     ]
 
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -174,6 +174,27 @@
         other.send(command(b"PING"))
         self.assertEqual(other.read(), [b"PONG"])
 
+    def test_a_long_pipeline_is_served_to_its_end(self):
+        self.start(a={})
+        client = self.client()  # more than a channel may have waiting at once
+        client.send(b"".join(command(*self.words(b"look", customer=1, rid=rid)) for rid in range(600)))
+        for _ in range(2):
+            self.world.next().conn.send(served())
+        answers = [client.read()[0] for _ in range(600)]
+        self.assertEqual(answers[:2], [b"v", b"v"])
+        self.assertTrue(all(a.startswith(b"BUSY") for a in answers[2:]))
+
+    def test_a_client_that_reads_no_answers_is_not_read_on(self):
+        self.start(a={})
+        client, sent = self.client(), 0
+        client.sock.settimeout(1.0)
+        with self.assertRaises(TimeoutError):  # else its answers would fill the gateway's memory
+            while sent < 200_000_000:
+                sent += client.sock.send(command(b"ECHO", b"x" * MOST_VALUE))
+        other = self.client()
+        other.send(command(b"PING"))
+        self.assertEqual(other.read(), [b"PONG"])
+
     def test_bad_requests_get_an_error_and_the_channel_stays(self):
         self.start(a={})
         client, good = self.client(), self.words(b"look")
