Compare starts of gateways across the wrap of their 32 bits of milliseconds

Seen when reading plumbing.py: incarnations are Unix milliseconds modulo 2^32, compared by > and <. On real clocks they begin anew every 49.7 days, and a gateway restarted after that is taken for an earlier life: its messages are dropped until its peers restart too (meet, older).

--- a/corkdeal/plumbing.py
+++ b/corkdeal/plumbing.py
@@ -9,6 +9,11 @@
 from .state import Account, Edge, Pair, Pending, Server
 
 
+def later(a: int, b: int) -> bool:
+    """Whether a start was after another; 32 bits of milliseconds begin anew every 49.7 days."""
+    return 0 < (a - b) % (1 << 32) < 1 << 31
+
+
 class Plumbing:
     """Records, deadline timers, peers' incarnations and the way from an event to its handler."""
 
@@ -105,14 +110,14 @@
 
     def meet(self, peer: int, born: int) -> bool:
         """Follow a peer's incarnation: after a restart both ends start over; False for an earlier one."""
-        known = self.peer_born.get(peer, 0)
-        if born > known:
+        known = self.peer_born.get(peer)
+        if known is None or later(born, known):
             self.peer_born[peer] = born
             for a in self.accounts.values():
                 a.pairs.update({peer: Pair()} if peer in a.pairs else {})
                 if peer in a.edges:
                     a.edges[peer].heard = None
-        return born >= known
+        return born == self.peer_born[peer]
 
     def tell(self, peer: int, notes: list[peers.Note]) -> None:
         """Both incarnations and a round, then the notes, in as many messages as they need."""
@@ -149,4 +154,4 @@
 
     def older(self, born: int) -> bool:
         """Whether a peer of that start knows what was spent before this gateway's time."""
-        return born + self.older_by < self.born
+        return later(self.born, born + self.older_by)
--- a/tests/net_world.py
+++ b/tests/net_world.py
@@ -173,7 +173,9 @@
         world, after = self.server.world, int(query.get("after", ["-1"])[0])
         with world.changed:
             world.calls.put(after)
-            world.changed.wait_for(lambda: world.closed or world.revision > after, PATIENCE)
+            world.changed.wait_for(
+                lambda: world.closed or (world.revision > after and not world.silent), PATIENCE
+            )
             body = (
                 world.raw
                 or json.dumps(
@@ -197,7 +199,7 @@
 
     def __init__(self):
         self.asked, self.calls, self.changed = queue.Queue(), queue.Queue(), threading.Condition()
-        self.revision, self.raw, self.backends, self.closed = 1, None, {}, False
+        self.revision, self.raw, self.backends, self.closed, self.silent = 1, None, {}, False, False
         self.http = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Discovery)
         self.http.world, self.http.daemon_threads = self, True
         threading.Thread(target=self.http.serve_forever, daemon=True).start()
@@ -243,7 +245,7 @@
         self.peer.settimeout(PATIENCE)
         self.addCleanup(self.peer.close)
 
-    def start(self, **backends):
+    def start(self, known=None, **backends):
         for name, more in backends.items():
             self.world.add(name, **more)
         self.udp = free(socket.SOCK_DGRAM)
@@ -256,6 +258,7 @@
             "peers": [self.udp, f"127.0.0.1:{self.peer.getsockname()[1]}"],
             "limits": {"sockets": 256},
             "settings": SETTINGS,
+            "known": known,
         }
         path = pathlib.Path(self.folder.name, "config.json")
         path.write_text(json.dumps(self.config))
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -65,6 +65,20 @@
     assert total(ring) == pytest.approx(1, abs=0.02)
 
 
+def test_restart_is_followed_when_the_milliseconds_begin_anew():
+    ring = Ring()
+    ring.now = (1 << 32) / 1000 - 3
+    for me in range(3):
+        ring.start(me)
+    ring.run(2, busy_at(0))
+    ring.run(2)
+    ring.start(0)  # counts from 0 again, yet it is the later start
+    assert ring.gateways[0].born < ring.gateways[1].born
+    ring.run(2, busy_at(0))
+    assert ring.gateways[1].peer_born[0] == ring.gateways[0].born
+    assert not ring.gateways[0].older(ring.gateways[0].born) and total(ring) == pytest.approx(1, abs=0.02)
+
+
 def test_restarted_gateway_takes_the_fill_of_its_neighbours():
     ring = Ring()
     ring.run(8, lambda me: 3.0)
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -214,6 +214,57 @@
         self.assertEqual((answers, self.gateway.rpcs), ([[b"-ERR failed\r\n"]], {}))
         self.assertEqual(invariants.counts["module_failed"], 1)
 
+    def dial(self):
+        """An attempt on a pool whose connection is still on its way."""
+        self.ended = []
+        hear = lambda attempt, reply: self.ended.append(reply.status)  # noqa: E731
+        pool = subchannel.Pool(self.reactor, self.gateway.settings, 1, self.reactor.seconds, hear)
+        pool.told("a", True, ("127.0.0.1", 1))
+        pool.send(attempt := subchannel.Attempt(None, 0, "a", 0.0, 9.0, [b"x"]))
+        return pool, attempt
+
+    def up(self):
+        """Have the last connection come up."""
+        connection = self.reactor.tcpClients[-1][2].buildProtocol(None)
+        transport = StringTransport()
+        transport.setTcpNoDelay, transport.connected = (lambda on: None), True
+        transport.dataBuffer, transport._tempDataBuffer = b"", []
+        transport.getHandle = lambda: transport
+        transport.sendmsg = lambda parts: transport.write(b"".join(parts)) or sum(map(len, parts))
+        transport.shutdown = lambda how: None
+        connection.makeConnection(transport)
+        return connection, transport
+
+    def test_an_attempt_still_connecting_ends_when_its_backend_drains(self):
+        pool, _ = self.dial()  # a send counts from its first byte, which could come after the grace
+        pool.told("a", False, ("127.0.0.1", 1))
+        self.assertEqual((self.ended, pool.open), ([t.Status.CONNECT_FAILED], set()))
+        self.assertEqual(self.up()[1].value(), b"")
+
+    def test_outcomes_by_where_the_connection_broke(self):
+        for left, status in ((b"", t.Status.RESET), (b"rest", t.Status.CONNECT_FAILED)):
+            self.dial()
+            connection, transport = self.up()
+            transport.dataBuffer = left
+            connection.connectionLost()
+            self.assertEqual(self.ended, [status])
+
+    def test_connections_are_used_again_and_retired_before_the_idle_limit(self):
+        pool, _ = self.dial()
+        connection, transport = self.up()
+        connection.dataReceived(b"+PONG\r\n")
+        self.assertEqual(self.ended, [t.Status.OK])
+        pool.send(subchannel.Attempt(None, 0, "a", 0.0, 9.0, [b"y"]))
+        self.assertEqual((transport.value(), len(self.reactor.tcpClients)), (b"xy", 1))
+        pool.send(subchannel.Attempt(None, 0, "a", 0.0, 9.0, [b"z"]))  # one connection is the most here
+        self.assertEqual(self.ended[-1], t.Status.CONNECT_FAILED)
+        connection.dataReceived(b"+PONG\r\n")
+        self.reactor.advance(self.gateway.settings.conn_idle - 1)
+        pool.sweep()
+        self.assertEqual(pool.open, set())
+        pool.send(subchannel.Attempt(None, 0, "a", 0.0, 9.0, [b"y"]))
+        self.assertEqual(len(self.reactor.tcpClients), 2)
+
     def test_invariants_are_asserted_or_counted_by_build(self):
         with self.assertRaisesRegex(AssertionError, "odd"):
             invariants.holds(False, "odd")
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -89,6 +89,15 @@
             asked.conn.send(served())
             self.assertEqual(client.read(), [b"v"])
 
+    def test_known_list_serves_while_discovery_is_silent(self):
+        self.world.silent = True
+        backend = self.world.add("a")
+        self.start(known={"revision": 0, "complete": True, "members": [backend.entry]})
+        client = self.client()
+        self.ask(client)
+        self.world.next().conn.send(served())
+        self.assertEqual(client.read(), [b"v"])
+
     def test_cold_backend_is_not_pushed_over(self):
         self.start(a={"up_since_ms": int(time.time() * 1000)})
         clients = [self.client() for _ in range(60)]
