Tell clients of a pressed fleet when to come back, as over-quota ones are told

The refusals without a wait came from brain.dispatch (no server, or an answer expected too late) and from deadlines, where answer() had no wait to give; now they advise the usual latency of the request's class, capped by what the settings allow.

--- a/corkdeal/brain.py
+++ b/corkdeal/brain.py
@@ -206,9 +206,12 @@
         self.out.append(t.Send(req.e.id, server.entry.server))
 
     def answer(self, req: Pending, wait: float = 0.0) -> None:
-        """The one final answer: refusal where another try is harmless, else failure."""
+        """The one final answer: refusal where another try is harmless, else failure.
+
+        It always says when to come back: as the quota has it, or after a usual answer, when less may be open.
+        """
         del self.requests[req.e.id]
-        advice = min(wait, self.s.max_advised_wait) if self.s.may_advise_wait else 0.0
+        advice = min(wait or self.typical(req), self.s.max_advised_wait) if self.s.may_advise_wait else 0.0
         harmless = (req.ran_at is None and req.server is None) or req.cls.effect is t.Effect.SAFE or (
             req.cls.effect is t.Effect.KEYED and req.cls.group is t.Group.ALL and req.server is None)
         self.out.append(t.Refuse(req.e.id, advice) if harmless else t.Fail(req.e.id))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -29,6 +29,16 @@
     assert not pick(again, (t.Fail, t.Refuse, t.Send))
 
 
+def test_every_refusal_says_when_to_come_back():
+    g, _ = gateway(servers())
+    g.handle(101.0, [request(1)])
+    assert all(r.retry_after > 0 for r in pick(g.handle(101.9, [t.TimerDue(0)]), t.Refuse))
+    g, _ = gateway(servers("a"))
+    pressed = [pick(g.handle(101.0, [request(rid, customer=rid)]), t.Refuse) for rid in range(20)]
+    refused = [r for some in pressed for r in some]
+    assert refused and all(0 < r.retry_after <= 1.0 for r in refused)
+
+
 def test_held_request_without_a_server_gets_an_answer():
     g, _ = gateway(servers())
     assert not pick(g.handle(101.0, [request(1)]), (t.Fail, t.Refuse, t.Send))
