--- a/corkdeal/brain.py
+++ b/corkdeal/brain.py
@@ -206,7 +206,7 @@
         self.out.append(t.Send(req.e.id, server.entry.server))
 
     def answer(self, req: Pending, wait: float = 0.0) -> None:
-        """The one final answer: a refusal, saying when to come back, where a try is harmless; else failure."""
+        """The one final answer: a refusal, saying when to come back, where that is harmless; else failure."""
         del self.requests[req.e.id]
         advice = min(wait or self.typical(req), self.s.max_advised_wait) if self.s.may_advise_wait else 0.0
         harmless = (req.ran_at is None and req.server is None) or req.cls.effect is t.Effect.SAFE or (
