Follow SIGHUP: check the new file whole, then move discovery's watch and go on

Checked: __main__.py sets handlers for SIGTERM and SIGINT only, and 129 is 128 + SIGHUP, its default action; no other fault in the log.

gateway.reload() reads the file through config.load(), keeps the old one on a fault with one line and a count, else stops the old watch (resolver.Watch.stop ends the call that is out and closes its connection) and starts one at the new address, whose first call asks for the whole list. Other changed keys are named in the log. The watch now also runs on through a drain, so what drains meanwhile is still heard of; it stops with the process. parse_list raised TypeError, not ListError, on a phase that is a list or an object; a reload must survive that.

--- a/corkdeal/net/__main__.py
+++ b/corkdeal/net/__main__.py
@@ -13,6 +13,7 @@
 
 def main() -> int:
     """Serve until a planned end; bad configuration ends it with one line."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is a gateway; its default ends it
     try:
         given = config.load()
     except config.ConfigError as error:
@@ -36,6 +37,7 @@
     gateway = Gateway(reactor, given)
     for each in (signal.SIGTERM, signal.SIGINT):
         signal.signal(each, lambda *_: reactor.callFromThread(gateway.drain))
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(gateway.reload))
     reactor.callWhenRunning(gateway.start)
     gc.collect()
     gc.freeze()  # what is loaded by now stays; later collections need not look at it
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import heapq
 import math
 import time
@@ -12,7 +13,7 @@
 from .. import interface as t
 from ..brain import Gateway as Decisions
 from . import channel, invariants
-from .config import Config
+from .config import Config, ConfigError, load
 from .invariants import count, holds
 from .peering import Peering
 from .resolver import ResolverResult, Watch
@@ -28,6 +29,7 @@
 REPORT_EVERY = 10.0  # s between lines of counts
 SPARE_SOCKETS = 48  # descriptors kept for the log, discovery, peers and what is being closed
 FAILED = b"-ERR failed\r\n"
+AT_START = ("discovery", "known", "seed")  # what a reload follows, or what only a start has a use for
 
 
 class Gateway:
@@ -40,7 +42,7 @@
         self.reader = Reader(self.settings)
         self.pool = Pool(reactor, self.settings, config.sockets // 2, self.now, self.finished)
         self.peering = Peering(self.settings.me, config.peers, config.peers_all, self.heard)
-        self.watch = Watch(reactor, config.discovery, self.settings, self.told)
+        self.watch = self.watch_at(config.discovery)
         self.report_names = {f: f for f in self.settings.report_fields}
         self.channels: set[channel.Channel] = set()
         self.rpcs: dict[int, RPC] = {}  # taken and not answered
@@ -87,6 +89,26 @@
             self.port = channel.listen(self.reactor, self.config.listen, self)
             log.info("{name} serves on {at}", name=self.config.name, at=self.config.listen)
 
+    def watch_at(self, at: tuple[str, int]) -> Watch:
+        """A watch of the discovery at that address, which begins by asking for the whole list."""
+        return Watch(self.reactor, at, self.settings, self.told)
+
+    def reload(self) -> None:
+        """SIGHUP: check the file whole, then move the watch; RPCs, channels and subchannels go on."""
+        try:
+            new = load()
+        except ConfigError as error:
+            count("reload_refused")
+            return log.error("configuration kept, the new one can't be used: {error}", error=error)
+        late = [f.name for f in dataclasses.fields(new) if f.name not in AT_START
+                and getattr(new, f.name) != getattr(self.config, f.name)]
+        self.watch.stop()
+        self.config = dataclasses.replace(self.config, discovery=new.discovery)
+        self.watch = self.watch_at(new.discovery)
+        self.watch.run()
+        log.info("configuration read again: discovery at {at}{late}", at=new.discovery,
+                 late=f"; at the next start: {', '.join(late)}" if late else "")
+
     def drain(self) -> None:
         """Planned end: new connections are taken for a while, then channels close as they fall idle."""
         if not self.draining:
@@ -98,7 +120,6 @@
         """Take no new connections; what was taken is still answered."""
         if self.port:
             self.port.stopListening()
-        self.watch.stop()
         for each in list(self.channels):
             each.close_when_idle()
         self.channel_ended()
@@ -107,6 +128,7 @@
         """End once draining is done and the last channel has closed."""
         if self.draining and not self.channels and not self.rpcs and self.reactor.running and (
                 not self.port or self.port.disconnecting or self.port.disconnected):
+            self.watch.stop()
             self.report()
             self.reactor.stop()
 
--- a/corkdeal/net/resolver.py
+++ b/corkdeal/net/resolver.py
@@ -66,7 +66,7 @@
             raise ListError(f"members.{i}.id must be text")
         if name in addresses:
             raise ListError(f"members.{i}.id comes twice: {name!r:.40}")
-        if phase not in STATES:
+        if not isinstance(phase, str) or phase not in STATES:
             raise ListError(f"members.{i}.phase is unknown: {phase!r:.40}")
         host, _, port = at.rpartition(":") if isinstance(at, str) else ("", "", "")
         if not host or not port.isdecimal() or not 0 < int(port) < 65536:
@@ -106,6 +106,7 @@
         self.agent = Agent.usingEndpointFactory(reactor, Endpoint(reactor, at), self.pool)
         self.revision: int | None = None  # of the list held; None asks for the whole of it
         self.running, self.again = False, 0.0
+        self.waiting: Any = None  # what the call that is out waits for
 
     @inlineCallbacks
     def run(self) -> Any:
@@ -115,6 +116,8 @@
             try:
                 result = yield from self.call()
             except Exception as error:  # discovery may be down, silent or wrong: the list held goes on
+                if not self.running:
+                    return
                 count("resolver_failed")
                 if not self.again:
                     log.warn("resolver: {error}", error=f"{type(error).__name__}: {error}")
@@ -122,7 +125,7 @@
                 yield deferLater(self.reactor, self.again)
                 continue
             self.again, self.revision = 0.0, result.revision
-            if result.complete or result.entries:
+            if self.running and (result.complete or result.entries):
                 self.told(result)
 
     @inlineCallbacks
@@ -132,10 +135,10 @@
         if self.revision is not None:
             url = b"%b?after=%d&wait_ms=%d" % (url, self.revision, WAIT_MS)
             limit = WAIT_MS / 1000 + ANSWER_LATE
-        asked = self.agent.request(b"GET", url)
+        self.waiting = asked = self.agent.request(b"GET", url)
         asked.addTimeout(limit, self.reactor)
         response = yield asked
-        reading = readBody(response)
+        self.waiting = reading = readBody(response)
         reading.addTimeout(PLAIN_LATE, self.reactor)
         body = yield reading
         if response.code != 200:
@@ -143,5 +146,8 @@
         return parse_list(orjson.loads(body), self.settings)
 
     def stop(self) -> None:
-        """Make no further call."""
-        self.running = False
+        """Make no further call, end the one that is out, and tell nothing more."""
+        if self.running:
+            self.running = False
+            self.waiting.cancel()
+            self.pool.closeCachedConnections()
--- a/tests/net_world.py
+++ b/tests/net_world.py
@@ -260,7 +260,7 @@
             "settings": SETTINGS,
             "known": known,
         }
-        path = pathlib.Path(self.folder.name, "config.json")
+        path = self.path = pathlib.Path(self.folder.name, "config.json")
         path.write_text(json.dumps(self.config))
         self.process = subprocess.Popen(
             [sys.executable, *self.build, "-m", "corkdeal.net"],
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -1,12 +1,13 @@
 """One test with real sockets for each rule; all of them run on the debug and on the release build."""
 
 import contextlib
+import json
 import signal
 import time
 
 from corkdeal.net.resp import MOST_VALUE, command
 
-from .net_world import Program, served
+from .net_world import Program, World, served
 
 
 class DebugBuild(Program):
@@ -241,6 +242,30 @@
             asked.conn.send(served())
             self.assertEqual(client.read(), [b"v"])
 
+    def test_reload_moves_the_watch_and_disturbs_no_rpc(self):
+        self.start(a={})  # without a handler SIGHUP ends the process, and all that it had taken is lost
+        other, client = World(), self.client()
+        self.addCleanup(other.close)
+        other.add("b")
+        self.ask(client, b"pay", body=b"x")
+        asked = self.world.next()
+        self.path.write_text(json.dumps({**self.config, "discovery": "nowhere"}))
+        self.process.send_signal(signal.SIGHUP)
+        self.assertIn("discovery must be", self.line("configuration kept"))
+        moved = {**self.config, "discovery": f"127.0.0.1:{other.http.server_port}", "name": "n1"}
+        self.path.write_text(json.dumps(moved))
+        self.process.send_signal(signal.SIGHUP)
+        self.assertIn("at the next start: name", self.line("configuration read again"))
+        self.assertEqual(other.calls.get(timeout=20), -1)  # the whole list first, then changes
+        self.assertEqual(other.calls.get(timeout=20), other.revision)
+        asked.conn.send(served(b"old"))
+        self.assertEqual(client.read(), [b"old"])
+        self.ask(client, rid=2)
+        other.next().conn.send(served(b"new"))
+        self.assertEqual(client.read(), [b"new"])
+        self.process.send_signal(signal.SIGTERM)
+        self.assertEqual(self.process.wait(20), 0)
+
     def test_planned_end_serves_what_was_taken_and_new_connections_for_a_while(self):
         self.start(a={})
         client = self.client()
