End channels that hold a descriptor for nothing, and share descriptors with the pool

Checked: failed requests had no attempt, backends and CPU had room (0.33 of 0.48), and the only answer that fails them is "-ERR max number of clients reached" in Channel.connectionMade, from Gateway.crowded(): no code ever closed a channel that its client kept.

descriptors.py now bounds the time of a first or half-sent command (1.5 s), closes channels idle for 10 s, and when descriptors run short puts a newcomer in the place of a silent or the longest idle one; never one with work in hand. A quarter stays for subchannels. A pool without room tells the module MOOT: CONNECT_FAILED ejected sound backends. Also: a refused channel is no longer read, answers to one read go out by one sendmsg (of 512 parts at most, for 1024 are an error), the 16th bad request ends a channel, and of backends that left, and of frames of finished attempts, nothing is kept (Pool.addresses, Pool.idle, the timer heap).

--- a/corkdeal/net/channel.py
+++ b/corkdeal/net/channel.py
@@ -17,7 +17,8 @@
 from .rpc import READ, RPC, WRITE, BadRequest
 
 MOST_WAITING = 256  # commands of one channel without an answer; past that it is not read on
-LINGER = 1.0  # s that a refused channel is read on, so that its client can read why
+MOST_BAD = 16  # bad requests of one channel; past that it is closed, so that a flood of them costs little
+LINGER = 0.5  # s that a refused channel stays open, unread, so that its client can read why
 OK = b"+OK\r\n"
 
 
@@ -40,23 +41,33 @@
         self.gateway, self.parser = gateway, Parser()
         self.waiting: deque[RPC | Ready] = deque()  # in the order of their commands
         self.begun = 0.0  # when the first byte of a command that has not come whole was seen
-        self.half_closed = self.closing = self.refused = self.held = False
+        self.since = gateway.now()  # when it was connected or last fell idle
+        self.asked = False  # whether a whole command has come
+        self.bad = 0
+        self.half_closed = self.closing = self.refused = False
+        self.held = self.reading = self.ended = False
+
+    @property
+    def spare(self) -> bool:
+        """Whether it has no work in hand and is not on its way out."""
+        return not (self.waiting or self.closing or self.refused or self.half_closed)
 
     def connectionMade(self) -> None:
-        """Join the others, unless all descriptors are in use."""
+        """Join the others, unless all descriptors are in use for something better."""
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)  # a client that reads no answers is not read either
         self.gateway.channels.add(self)
-        if self.gateway.crowded():
+        if not self.gateway.descriptors.for_channel():
             count("channel_refused")
             self.refuse(b"-ERR max number of clients reached\r\n")
 
     def rawDataReceived(self, data: bytes) -> None:
-        """Take bytes; malformed ones cost this channel only, and no others."""
+        """Take bytes; malformed ones cost this channel only, and no others. Answers go out together."""
         if self.refused:
             return
         now = self.gateway.now()
         begun = self.begun if self.parser.midway else now
+        self.reading = True
         try:
             self.parser.feed(data)
             while not self.refused and (frame := self.parser.next()) is not None:
@@ -65,19 +76,25 @@
         except Malformed as error:
             count("channel_malformed")
             self.refuse(b"-ERR Protocol error: %b\r\n" % str(error).encode())
+        finally:
+            self.reading = False
         self.begun = begun
+        self.flush()
 
     def command(self, frame: Frame, now: float, begun: float) -> None:
         """One command; what is no request is answered here."""
         if not frame.is_command():
             raise Malformed("expected an array of bulk strings")
+        self.asked = True
         name = frame.text(1).upper()
         if name in (READ, WRITE):
             try:
                 rpc = self.gateway.reader.read(frame, now, begun)
             except BadRequest as error:
                 count("request_malformed")
-                return self.ready(b"-ERR %b\r\n" % str(error).encode())
+                self.bad += 1
+                tell = self.ready if self.bad < MOST_BAD else self.refuse
+                return tell(b"-ERR %b\r\n" % str(error).encode())
             rpc.channel = self
             self.waiting.append(rpc)
             if len(self.waiting) >= MOST_WAITING and not self.held:
@@ -108,6 +125,8 @@
 
     def flush(self) -> None:
         """Write what is ready in order, by one gathered write; close where nothing is left to do."""
+        if self.reading:
+            return
         parts: list[gather.Part] = []
         while self.waiting and self.waiting[0].reply is not None:
             parts += self.waiting.popleft().reply
@@ -115,12 +134,17 @@
             gather.write(self.transport, parts)
         if self.held and len(self.waiting) < MOST_WAITING // 2:
             self.held = False
-            if not self.transport.producerPaused:
+            if not self.transport.producerPaused and not self.refused:
                 self.resumeProducing()
         if not self.waiting:
+            self.since = self.gateway.now()
             if self.refused:
+                if self.ended:
+                    return
+                self.ended = True
                 self.transport.unregisterProducer()
                 self.transport.loseWriteConnection()
+                self.transport.pauseProducing()  # 60 MB that nobody wants would cost more than its client
                 self.gateway.reactor.callLater(LINGER, self.transport.abortConnection)
             elif self.closing or self.half_closed:
                 self.end()
@@ -135,6 +159,11 @@
         self.refused = True
         self.ready(reply)
 
+    def drop(self) -> None:
+        """Close at once, for another channel's sake; nothing is open on this one."""
+        self.closing = True
+        self.transport.abortConnection()
+
     def close_when_idle(self) -> None:
         """Close between requests: now, or after the last answer."""
         if not self.closing and not self.refused:
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -14,6 +14,7 @@
 from ..brain import Gateway as Decisions
 from . import channel, invariants
 from .config import Config, ConfigError, load
+from .descriptors import Descriptors
 from .invariants import count, holds
 from .peering import Peering
 from .resolver import ResolverResult, Watch
@@ -25,9 +26,8 @@
 START_WAIT = 0.25  # s that a start waits for discovery's first word before it goes by `known`
 STAY_UP = 0.5  # s after SIGTERM that new connections are taken; they keep coming for 0.4
 PROBE_TIMEOUT = 0.25  # s
-SWEEP_EVERY = 2.0  # s between looks for idle connections to retire
+SWEEP_EVERY = 0.5  # s between looks for connections to retire
 REPORT_EVERY = 10.0  # s between lines of counts
-SPARE_SOCKETS = 48  # descriptors kept for the log, discovery, peers and what is being closed
 FAILED = b"-ERR failed\r\n"
 AT_START = ("discovery", "known", "seed")  # what a reload follows, or what only a start has a use for
 
@@ -40,11 +40,14 @@
         self.epoch = time.time() - time.monotonic()  # wall time at the start; later steps of it don't matter
         self.decisions = Decisions(self.settings, config.seed)
         self.reader = Reader(self.settings)
-        self.pool = Pool(reactor, self.settings, config.sockets // 2, self.now, self.finished)
+        self.channels: set[channel.Channel] = set()
+        self.descriptors = Descriptors(config.sockets, self.channels, self.now)
+        self.pool = Pool(reactor, self.settings, config.sockets // 2, self.now, self.finished,
+                         self.descriptors.for_subchannel)
+        self.descriptors.pool = self.pool
         self.peering = Peering(self.settings.me, config.peers, config.peers_all, self.heard)
         self.watch = self.watch_at(config.discovery)
         self.report_names = {f: f for f in self.settings.report_fields}
-        self.channels: set[channel.Channel] = set()
         self.rpcs: dict[int, RPC] = {}  # taken and not answered
         self.out: dict[tuple[int, int], Attempt] = {}
         self.events: list[t.Event] = []
@@ -132,13 +135,10 @@
             self.report()
             self.reactor.stop()
 
-    def crowded(self) -> bool:
-        """Whether descriptors are about to run out."""
-        return len(self.channels) + len(self.pool.open) > self.config.sockets - SPARE_SOCKETS
-
     def sweep(self) -> None:
-        """Retire idle subchannels now and then."""
+        """Retire idle channels and subchannels now and then."""
         self.pool.sweep()
+        self.descriptors.sweep()
         self.reactor.callLater(SWEEP_EVERY, self.sweep)
 
     def report(self) -> None:
--- a/corkdeal/net/gather.py
+++ b/corkdeal/net/gather.py
@@ -11,6 +11,7 @@
 from .invariants import count
 
 Part = bytes | memoryview
+MOST_PARTS = 512  # in one sendmsg; Linux takes 1024 and calls more an error
 
 
 def pending(transport: Any) -> bool:
@@ -20,6 +21,8 @@
 
 def write(transport: Any, parts: list[Part]) -> None:
     """Write parts by one sendmsg; only what the socket does not take at once is left to the transport."""
+    if len(parts) > MOST_PARTS:
+        parts = [b"".join(parts)]
     if pending(transport):
         return transport.writeSequence([bytes(p) for p in parts])
     try:
--- a/corkdeal/net/subchannel.py
+++ b/corkdeal/net/subchannel.py
@@ -173,11 +173,14 @@
 
 
 class Pool:
-    """All subchannels, by backend; `finished` hears how each attempt ended, exactly once."""
+    """All subchannels, by backend; `finished` hears how each attempt ended, exactly once.
+
+    `room` tells whether the process can spare a descriptor for one more.
+    """
 
     def __init__(self, reactor: Any, settings: t.Settings, most: int, now: Callable[[], float],
-                 finished: Callable[[Attempt, Reply], None]) -> None:
-        self.reactor, self.most, self.now, self.finished = reactor, most, now, finished
+                 finished: Callable[[Attempt, Reply], None], room: Callable[[], bool]) -> None:
+        self.reactor, self.most, self.now, self.finished, self.room = reactor, most, now, finished, room
         self.connect_timeout, self.idle_limit = settings.connect_timeout, settings.conn_idle * IDLE_PART
         self.addresses: dict[str, tuple[str, int]] = {}
         self.idle: dict[str, list[Subchannel]] = {}
@@ -191,23 +194,26 @@
             if conn.idle_since > oldest:
                 return conn.begin(attempt)
             conn.close()
-        if len(self.open) >= self.most:
-            self.make_room()
-        at = self.addresses.get(attempt.server)
-        if at is None or len(self.open) >= self.most:
-            count("subchannel_none_left" if at else "subchannel_without_address")
+        if (at := self.addresses.get(attempt.server)) is None:
+            count("subchannel_without_address")
             return self.finish(attempt, Reply(t.Status.CONNECT_FAILED))
+        if (len(self.open) >= self.most or not self.room()) and not self.make_room():
+            count("subchannel_none_left")  # this gateway's own shortage, which says nothing of the backend
+            return self.finish(attempt, Reply(t.Status.MOOT))
         conn = Subchannel(self, attempt.server, attempt)
         self.open.add(conn)
         conn.connector = self.reactor.connectTCP(*at, Dial(conn), timeout=self.connect_timeout)
 
-    def make_room(self) -> None:
+    def make_room(self) -> bool:
         """Close the connection that has stood idle for longest."""
         if spare := [conns[0] for conns in self.idle.values() if conns]:
             min(spare, key=lambda c: c.idle_since).close()
+        return bool(spare)
 
     def keep(self, conn: Subchannel) -> None:
-        """Hold a connection for the next attempt."""
+        """Hold a connection for the next attempt, unless its backend has left the list meanwhile."""
+        if conn.server not in self.addresses:
+            return conn.close()
         conn.idle_since = self.now()
         self.idle.setdefault(conn.server, []).append(conn)
 
@@ -222,6 +228,7 @@
         if holds(not attempt.over, "second_outcome"):
             attempt.over, attempt.conn, attempt.parts = True, None, []
             self.finished(attempt, reply)
+            attempt.rpc = None  # its timer holds the attempt until it is due, and must not hold the frame
 
     def give_up(self, attempt: Attempt, status: t.Status) -> None:
         """Stop waiting; its connection ends, so a late answer reaches nobody."""
@@ -237,7 +244,9 @@
 
     def told(self, server: str, ready: bool, at: tuple[str, int]) -> None:
         """Follow the list. Attempts connecting to a drained backend end: their first byte could come late."""
-        moved, self.addresses[server] = self.addresses.get(server, at) != at, at
+        moved = self.addresses.pop(server, at) != at
+        if ready:  # of backends that left nothing is kept: over a long day there are many
+            self.addresses[server] = at
         if not ready or moved:
             self.close_idle(server)
             for conn in [c for c in self.open if c.server == server and not c.up and c.attempt]:
