Let quiet customers rest: no notes to and fro for ever, and forgotten after 15 s

A probe with a ring of three: one single request costs 3 notes a second for ever, and no end forgets it within 200 s. At fault: Gateway.trade() told each pair of each account every 2 s, and a note heard sets told_at, so the ends kept one another's accounts alive; "a minute without requests at either end" never came.

Now trade() looks at lively accounts only (asked here within 8 s, or with something to trade); what a neighbour told is taken to fill while it is silent, so a stale low level does not call for notes. Accounts are forgotten after 15 s or the time their bucket takes to fill. An end that starts an account anew takes over the totals of the other, or resets them there; else units moved long ago were taken from a bucket again.

Each new test fails without its part of the change. lint clean, 167 tests pass.

--- a/corkdeal/brain.py
+++ b/corkdeal/brain.py
@@ -18,9 +18,9 @@
 ETA = 0.5  # part of the gap closed by one trade; a full ring of three still converges at this
 DEMAND_FLOOR = 0.1  # of the even share; an idle gateway keeps something to start from
 COMFORT = 0.6  # of its bucket; a pair that is fuller at both ends need not trade
-IDLE_TELL = 2.0  # s between entries of a comfortable pair
-SILENT_AFTER, TOLD_FRESH = 1.0, 2.5  # s: three trades and a late message; a told level may back a credit
-FORGET_AFTER = 60.0  # s without requests at either end
+IDLE_TELL, QUIET_AFTER = 2.0, 8.0  # s between entries of a comfortable pair, while its customer asks here
+SILENT_AFTER, TOLD_FRESH = 1.0, 2.5  # s: three trades and a late message; told free slots may back a credit
+FORGET_AFTER, FORGET_WIDE = 15.0, 60.0  # s without requests at either end, and without news of a wide ring
 OLDER = 3000  # ms; a neighbour that started this much before knows what was spent before this one's time
 NARROW = 8  # members; adjacent trades even a ring out in about (members / 2)^2 rounds, here 4 s
 DEMAND_MEMORY, RING_MEMORY = 2.0, 4.0  # s that demand is averaged over; a wide ring hears of it later
@@ -163,6 +163,7 @@
         """Admit and send at once, or refuse at once."""
         a = self.account(e.customer, e.plan, e.first_gateway, e.spread)
         share, a.asked_at = self.refill(a), self.now
+        self.lively.update({e.customer: a} if a.pairs else {})
         units = e.units if a.plan.rate else 1.0
         if a.wide:
             self.ask(a, units)
@@ -373,6 +374,19 @@
         """Whether an end of a pair is low enough to want a trade."""
         return level < COMFORT * share * (a.plan.burst if a.plan.rate else a.plan.max_open)
 
+    def told(self, a: Account, pair: Pair) -> tuple[float, float]:
+        """Slice and level of a neighbour by now: while it tells nothing new, its bucket only fills."""
+        if pair.told_slice is None or not a.plan.rate:
+            return pair.told_slice or 0.0, pair.told_level
+        level = pair.told_level + a.plan.rate * pair.told_slice * (self.now - pair.told_at)
+        return pair.told_slice, min(a.plan.burst * pair.told_slice, level)
+
+    def forgotten(self, a: Account) -> bool:
+        """Whether a customer has been quiet for so long that nothing is lost by starting it anew."""
+        fills = a.plan.burst / a.plan.rate if a.plan.rate else 0.0
+        after = FORGET_WIDE if a.wide else max(FORGET_AFTER, fills)
+        return self.now - max(a.asked_at, a.told_at) > after and not a.open
+
     def state(self, a: Account) -> tuple[float, float, float]:
         """Slice, demand and level (or free slots) as told to neighbours."""
         share, full = self.refill(a), a.plan.rate or a.plan.max_open or 1.0
@@ -382,16 +396,18 @@
     def trade(self) -> None:
         """Tell each neighbour of the customers that need a trade; a bare greeting keeps silence apart."""
         self.traded_at, due = self.now, {p: [] for p in sorted(self.neighbours)}
-        for key, a in list(self.accounts.items()):
-            if self.now - max(a.asked_at, a.told_at) > FORGET_AFTER and not a.open:
-                del self.accounts[key]
-                continue
-            low = a.pairs and self.short(a, self.slice(a), self.state(a)[2])
+        for key in [key for key, a in self.accounts.items() if self.forgotten(a)]:
+            del self.accounts[key]
+            self.lively.pop(key, None)
+        for key, a in list(self.lively.items()):
+            low, awake = self.short(a, self.slice(a), self.state(a)[2]), self.now - a.asked_at < QUIET_AFTER
             for peer, pair in a.pairs.items():
-                want = pair.due or low or (
-                    pair.told_slice is not None and self.short(a, pair.told_slice, pair.told_level))
-                if self.now - pair.sent_at >= (TRADE_EVERY / 2 if want else IDLE_TELL):
+                want = low or pair.due or self.short(a, *self.told(a, pair))
+                awake = awake or want
+                if self.now - pair.sent_at >= (TRADE_EVERY / 2 if want else IDLE_TELL if awake else math.inf):
                     due[peer].append(self.note(key, a, peer))
+            if not awake:  # an end with nothing to tell is silent, else notes go to and fro for ever
+                del self.lively[key]
         for peer, notes in due.items():
             self.tell(peer, notes)
 
@@ -418,6 +434,12 @@
         pair = a.pairs.get(peer)
         if pair is None or number <= pair.round:
             return []
+        self.lively[note.customer] = a
+        if not pair.round and (self.s.me > peer or pair.sent_at < 0):  # moved before this account's life
+            pair.slice, pair.units = -note.slice_total, -note.units_total
+        elif pair.told_totals and not (note.slice_total or note.units_total):  # there it was started anew
+            pair.slice, pair.units = 0, 0.0
+        pair.told_totals = bool(note.slice_total or note.units_total)
         share, demand, level, pair.round = note.slice, note.demand, note.level, number
         own_share, own_demand, own_level = self.state(a)
         if not a.caught_up:  # a restarted gateway takes its bucket's fill from who kept running
--- a/corkdeal/plumbing.py
+++ b/corkdeal/plumbing.py
@@ -25,6 +25,7 @@
         self.sent: dict[tuple[int, int], tuple[Server, Account]] = {}  # attempts out
         self.mine: list[Server] = []  # the servers it prefers
         self.neighbours: set[int] = set()  # adjacent members of narrow rings
+        self.lively: dict[int, Account] = {}  # accounts of narrow rings that may have something to tell
         self.untold: dict[int, Account] = {}  # accounts of wide rings with news
         self.work: dict[tuple[int, int], float] = {}  # usual latency by class and size
         self.later: dict[int, float] = {}  # customers whose news may be told from then on
--- a/corkdeal/state.py
+++ b/corkdeal/state.py
@@ -41,6 +41,7 @@
     told_at: float = float("-inf")
     sent_at: float = float("-inf")
     due: bool = False
+    told_totals: bool = False  # whether it last told of anything moved between the two
 
 
 @dataclass(slots=True)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -150,6 +150,46 @@
     assert not g.accounts
 
 
+def test_quiet_customers_cost_no_notes_and_are_forgotten_at_both_ends():
+    ring, asked = Ring(), []
+    ring.run(3)
+    ring.run(1, lambda me: 0.0 if asked else asked.append(me) or 1.0)
+    ring.run(9)
+    assert all(7 in g.accounts for g in ring.gateways.values())
+    ring.delay = 100.0  # keeps what is sent in sight; each end's notes kept the other's account alive
+    ring.run(0.5)
+    assert {len(payload) for *_, payload in ring.flight} == {peers.HEAD.size}  # greetings alone
+    ring.delay = 0.02
+    ring.run(15)
+    assert not any(g.accounts or g.lively for g in ring.gateways.values())
+
+
+@pytest.mark.parametrize("busy", [0, 2])
+@pytest.mark.parametrize("who, asks", [(who, asks) for who in range(3) for asks in range(3)])
+def test_an_account_started_anew_at_one_end_keeps_the_sum_and_its_units(busy, who, asks):
+    ring = Ring()
+    ring.run(8, busy_at(busy))  # slices and many units have moved
+    ring.run(7)
+    ring.gateways[who].accounts.clear()
+    ring.gateways[who].lively.clear()
+    for _ in range(10):
+        ring.run(0.3, lambda me: 0.05 if me == asks else 0.0)
+        for g in ring.gateways.values():  # what was moved before must not be taken from a bucket once more
+            assert 7 not in g.accounts or g.state(g.accounts[7])[2] > 0.25 * g.accounts[7].base() * PLAN.burst
+    assert total(ring) == pytest.approx(1, abs=0.02)
+
+
+def test_totals_of_a_forgotten_account_are_taken_over_from_the_other_end():
+    ring = Ring()
+    ring.run(2)
+    g = ring.gateways[1]
+    note = peers.Note(7, 0, 0, 3, 0.6, 1.0, 18.0, 8000, 12.0)  # its bucket is full, by 12 units from here
+    message = t.PeerMessage(0, *peers.pack(5, g.born, 1, [note]))
+    tell = pick(g.handle(ring.now, [message]), t.Tell)[-1]
+    (reply,) = peers.unpack(tell.payload, 1, ring.gateways[0].s)[3]
+    assert reply.units_total <= -11.0 and reply.slice_total < -4000  # from 0, the other end would lose them
+
+
 def test_overtaken_message_changes_nothing():
     ring = Ring()
     ring.run(1, busy_at(0))
