Hold requests and backends' answers strictly to their forms

Reader now checks each parameter by pattern, once each, with the ranges of the settings, the command by the class, and ids against those of open RPCs. A subchannel fails an answer at its head, or 0.3 s after its first byte, and is looked into (MSG_PEEK) and rests 5 ms before it is used again. Channels beyond the descriptors end without lingering.

--- a/corkdeal/net/channel.py
+++ b/corkdeal/net/channel.py
@@ -59,7 +59,9 @@
         self.gateway.channels.add(self)
         if not self.gateway.descriptors.for_channel():
             count("channel_refused")
-            self.refuse(b"-ERR max number of clients reached\r\n")
+            self.refused = True
+            self.transport.write(b"-ERR max number of clients reached\r\n")
+            self.end()  # without lingering: a crowd of those turned away must not use up the descriptors
 
     def rawDataReceived(self, data: bytes) -> None:
         """Take bytes; malformed ones cost this channel only, and no others. Answers go out together."""
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -195,6 +195,7 @@
         """Its client has gone away."""
         if not rpc.done:
             rpc.done = True
+            self.reader.open.discard(rpc.id)
             del self.rpcs[rpc.request.id]
             self.feed(t.ClientGone(rpc.request.id))
 
@@ -271,6 +272,7 @@
         rpc = self.rpcs.pop(rid, None)
         if rpc is not None:
             rpc.done = True
+            self.reader.open.discard(rpc.id)
             rpc.channel.answer(rpc, reply)
 
     def send(self, a: t.Send) -> None:
--- a/corkdeal/net/resp.py
+++ b/corkdeal/net/resp.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 
 MOST_VALUE = 64 * 1024  # bytes in one value
@@ -12,6 +13,8 @@
 MOST_FRAME = 4 * MOST_VALUE  # bytes in one frame
 MOST_ITEMS = 64  # items in one frame, nested ones counted
 ARRAY, BULK, SIMPLE, ERROR, INTEGER = b"*$+-:"
+UNKNOWN = -2  # a size that has not come yet
+FIGURE = re.compile(rb"[0-9]{1,12}(?:\.[0-9]{1,12})?").fullmatch  # float() takes `1_0` and `nan` as well
 KINDS = frozenset((ARRAY, BULK, SIMPLE, ERROR, INTEGER))
 
 
@@ -83,6 +86,10 @@
         for i in self.items:
             i.head, i.start, i.stop, i.end = i.head - by, i.start - by, i.stop - by, i.end - by
 
+    def head(self) -> tuple[int, int]:
+        """Kind and size of the frame that has begun to come, as far as they can be told."""
+        return (self.items[0].kind, self.items[0].size) if self.items else (self.buf[self.begin], UNKNOWN)
+
     def next(self) -> Frame | None:
         """The next whole frame, or None until more bytes come."""
         buf, have = self.buf, len(self.buf)
@@ -152,13 +159,5 @@
 
 def report_of(raw: bytes, names: dict[str, str]) -> dict[str, float]:
     """A load report: the fields that the settings name, as numbers; anything else is left out."""
-    report = {}
-    for name, value in fields_of(raw):
-        known = names.get(name.decode("latin-1"))
-        try:
-            figure = float(value)
-        except ValueError:
-            continue
-        if known and figure - figure == 0.0:  # neither infinite nor no number
-            report[known] = figure
-    return report
+    return {known: float(value) for name, value in fields_of(raw)
+            if (known := names.get(name.decode("latin-1"))) and FIGURE(value)}
--- a/corkdeal/net/rpc.py
+++ b/corkdeal/net/rpc.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from typing import Any
 
@@ -12,6 +13,15 @@
 READ, WRITE = b"API.READ", b"API.WRITE"
 CUSTOMER, ID, PARAMS = 2, 3, 4  # items of the frame; the array's head is 0 and the command's name 1
 CLIENT_WAY = 0.001  # s that a request has been on its way when it arrives, as far as one can guess
+# Python's own int() and float() also take signs, blanks and underscores, which a backend need not read alike.
+HEX = re.compile(rb"[0-9a-fA-F]{16}").fullmatch
+WHOLE = re.compile(rb"[0-9]{1,7}").fullmatch
+DECIMAL = re.compile(rb"[0-9]{1,6}(?:\.[0-9]{1,6})?").fullmatch
+KEY = re.compile(rb"[!-+\--<>-~]{1,64}").fullmatch  # visible, and neither a comma nor an equals sign
+FLAG = re.compile(rb"[01]").fullmatch
+FORMS = {b"c": None, b"t": None, b"d": WHOLE, b"k": KEY, b"r": FLAG, b"units": DECIMAL, b"spread": WHOLE,
+         b"first": WHOLE}
+DEFAULTS = {b"c": b"", b"t": b"", b"units": b"1", b"spread": b"1", b"first": b"0"}
 
 
 class BadRequest(ValueError):
@@ -23,6 +33,7 @@
     """One request taken, until its final answer is on its way."""
 
     request: t.Request
+    id: int  # the client's, which no other open RPC may have
     frame: Frame
     wait_at: int  # offsets of the value of `d` in the parameters
     wait_stop: int
@@ -51,31 +62,52 @@
         self.classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
         self.plans = {p.name.encode(): i for i, p in enumerate(settings.plans)}
         self.number = 0
+        self.open: set[int] = set()  # the ids of RPCs without an answer
 
     def read(self, frame: Frame, now: float, begun: float) -> RPC:
-        """One API command; `begun` is when its first byte was seen, from which its wait counts."""
-        if not PARAMS < len(frame.items) <= PARAMS + 2:
+        """One API command; `begun` is when its first byte was seen, from which its wait counts.
+
+        All is checked here: what is wrong would spoil a customer's quota, or be held against a backend.
+        """
+        write = frame.text(1).upper() == WRITE
+        if not PARAMS < len(frame.items) <= PARAMS + 1 + write:
             raise BadRequest("wrong number of arguments")
-        raw = frame.text(PARAMS)
-        given = dict(fields_of(raw))
-        cls, plan = self.classes.get(given.get(b"c", b"")), self.plans.get(given.get(b"t", b""))
+        raw, s = frame.text(PARAMS), self.settings
+        given = self.fields(raw)
+        cls, plan = self.classes.get(given[b"c"]), self.plans.get(given[b"t"])
         if cls is None or plan is None:
             raise BadRequest("unknown class or plan")
-        try:
-            customer = int(frame.text(CUSTOMER), 16)
-            wait, units = int(given[b"d"]), float(given.get(b"units", b"1"))
-            spread, first = int(given.get(b"spread", b"1")), int(given.get(b"first", b"0"))
-        except (KeyError, ValueError):
-            raise BadRequest("bad parameters") from None
-        if not (0 <= customer < MOST_CUSTOMER and 0 < wait < 10**7 and 0 <= units < 10**6
-                and spread >= 1 and 0 <= first < self.settings.gateways):
-            raise BadRequest("parameters out of range")
-        if self.settings.classes[cls].effect is t.Effect.KEYED and b"k" not in given:
+        effect = s.classes[cls].effect
+        if write is (effect is t.Effect.SAFE):
+            raise BadRequest("this class is served by the other command")
+        if effect is t.Effect.KEYED and b"k" not in given:
             raise BadRequest("this class needs a key")
+        if not HEX(frame.text(CUSTOMER)) or not HEX(frame.text(ID)):
+            raise BadRequest("customer and id must be 16 hexadecimal digits")
+        customer, rid = int(frame.text(CUSTOMER), 16), int(frame.text(ID), 16)
+        wait, units, spread, first = (
+            int(given[b"d"]), float(given[b"units"]), int(given[b"spread"]), int(given[b"first"]))
+        if not (customer < MOST_CUSTOMER and wait and 0 < units <= s.most_units and 0 < spread <= s.gateways
+                and first < s.gateways):
+            raise BadRequest("parameters out of range")
+        if rid in self.open:
+            raise BadRequest("an open request has this id")
+        self.open.add(rid)
         at = 2 if raw.startswith(b"d=") else raw.index(b",d=") + 3
         stop = raw.find(b",", at)
         deadline = begun + wait / 1000 - CLIENT_WAY
         self.number += 1
         return RPC(t.Request(self.number, customer, plan, cls, units, first, spread, max(0.0, deadline - now),
-                             given.get(b"r") == b"1", frame.text(1).upper() == WRITE),
-                   frame, at, stop if stop >= 0 else len(raw), deadline)
+                             given.get(b"r") == b"1", write),
+                   rid, frame, at, stop if stop >= 0 else len(raw), deadline)
+
+    def fields(self, raw: bytes) -> dict[bytes, bytes]:
+        """The parameters, each once and in its form; names that are not known here go through as they are."""
+        pairs = fields_of(raw)
+        given = dict(pairs)
+        if len(given) != raw.count(b",") + 1 or b"" in given or b"d" not in given:
+            raise BadRequest("bad parameters")
+        for name, value in pairs:
+            if (form := FORMS.get(name)) and not form(value):
+                raise BadRequest("bad parameters")
+        return DEFAULTS | given
--- a/corkdeal/net/subchannel.py
+++ b/corkdeal/net/subchannel.py
@@ -13,10 +13,13 @@
 from .. import interface as t
 from . import gather
 from .invariants import count, holds
-from .resp import ARRAY, BULK, ERROR, SIMPLE, Frame, Item, Malformed, Parser
+from .resp import ARRAY, BULK, ERROR, SIMPLE, UNKNOWN, Frame, Item, Malformed, Parser
 from .rpc import RPC
 
 IDLE_PART = 0.8  # of the idle limit; a backend closes "at the latest" then, and a crossing send is a reset
+SETTLE = 0.005  # s that a connection rests after an answer: what comes behind it must not answer the next RPC
+REPLY_LATE = 0.3  # s from the first byte of an answer to its last; a backend writes it at once
+REPLY_ITEMS = 3  # the value, the figures on use, the load report
 
 
 @dataclass(slots=True, eq=False)
@@ -51,21 +54,33 @@
     return i
 
 
+def check_head(kind: int, size: int) -> None:
+    """An answer begins as an array of three or as an error line; anything else need not be waited for."""
+    if kind != ERROR and (kind != ARRAY or size not in (REPLY_ITEMS, UNKNOWN)):
+        raise Malformed("no answer to a request")
+
+
 def read_reply(frame: Frame) -> Reply:
-    """The outcome that a backend's answer stands for."""
+    """The outcome that a backend's answer stands for; what has no form that it may have is malformed.
+
+    Only the value has to be sound: figures on use have no reader here, and an odd report is none.
+    """
     top, items = frame.items[0], frame.items
-    if top.kind == ARRAY and top.size > 0:
+    check_head(top.kind, top.size)
+    if top.kind == ARRAY:
         stop = past(items, 1)
-        load = items[past(items, stop)] if past(items, stop) < len(items) else None
-        report = bytes(frame.buf[load.start:load.stop]) if load and load.kind == BULK else b""
-        if (items[1].kind == BULK and items[1].size >= 0) or (items[1].kind == ARRAY and items[1].size > 0):
-            return Reply(t.Status.OK, memoryview(frame.buf)[items[1].head:items[stop - 1].end], report)
-        return Reply(t.Status.ERROR, report=report)
-    line = frame.text(0)
-    word, _, rest = line.partition(b" ")
-    if top.kind == ERROR and word == b"BUSY":
+        first = items[2] if items[1].kind == ARRAY and items[1].size > 0 else items[1]
+        if first.kind != BULK or first.size < 0:
+            raise Malformed("no value")
+        load = items[past(items, stop)]
+        report = bytes(frame.buf[load.start:load.stop]) if load.kind == BULK else b""
+        return Reply(t.Status.OK, memoryview(frame.buf)[items[1].head:items[stop - 1].end], report)
+    word, _, rest = frame.text(0).partition(b" ")
+    if word == b"BUSY":
         return Reply(t.Status.FULL, report=rest)
-    if word in (b"SYNTAX", b"NOPERM"):
+    if word not in (b"ERR", b"SYNTAX", b"NOPERM"):
+        raise Malformed("unknown error")
+    if word != b"ERR":
         count(f"backend_{word.decode().lower()}")
     return Reply(t.Status.ERROR, report=rest.rpartition(b" ")[2])
 
@@ -109,13 +124,17 @@
                 count("subchannel_unasked")
                 self.close()
             return
+        begun = self.parser.midway
         try:
             self.parser.feed(data)
             frame = self.parser.next()
             reply = frame and (read_reply if self.attempt.rpc else read_probe)(frame)
-        except Malformed:  # no whole answer came, and it may have run
-            count("subchannel_malformed")
-            return self.pool.give_up(self.attempt, t.Status.RESET)
+            if not frame and self.attempt.rpc:
+                check_head(*self.parser.head())
+        except Malformed:
+            return self.spoilt(self.attempt)
+        if not reply and not begun:  # one that never ends would hold its request up to the deadline
+            self.pool.reactor.callLater(REPLY_LATE, self.spoilt, self.attempt)
         if reply:
             attempt, self.attempt = self.attempt, None
             if self.parser.midway:
@@ -125,6 +144,24 @@
                 self.pool.keep(self)
             self.pool.finish(attempt, reply)
 
+    def spoilt(self, attempt: Attempt) -> None:
+        """No sound answer came, or not the whole of one; the attempt may have run."""
+        if not attempt.over:
+            count("subchannel_malformed")
+            self.pool.give_up(attempt, t.Status.RESET)
+
+    def clean(self) -> bool:
+        """Whether nothing has come since the last answer, not even an end; the reactor may not know yet."""
+        try:
+            self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            count("subchannel_broken_while_idle")
+            return False
+        count("subchannel_unasked")
+        return False
+
     def close(self) -> None:
         """End it now. Twisted's abort waits for the next turn, and by then another attempt may be out."""
         if self.ended:
@@ -187,11 +224,13 @@
         self.open: set[Subchannel] = set()
 
     def send(self, attempt: Attempt) -> None:
-        """Write the attempt on the connection that was used last, or on a new one."""
-        spare, oldest = self.idle.get(attempt.server), self.now() - self.idle_limit
-        while spare:
-            conn = spare.pop()
-            if conn.idle_since > oldest:
+        """Write the attempt on the connection that was used last and has settled, or on a new one."""
+        now = self.now()
+        for conn in reversed(self.idle.get(attempt.server, ())[:]):
+            if conn.idle_since > now - SETTLE:
+                continue
+            if conn.idle_since > now - self.idle_limit and conn.clean():
+                self.idle[attempt.server].remove(conn)
                 return conn.begin(attempt)
             conn.close()
         if (at := self.addresses.get(attempt.server)) is None:
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -5,12 +5,13 @@
 import subprocess
 import sys
 import unittest
+import unittest.mock
 
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 from corkdeal import interface as t
 from corkdeal.net import channel as channel_module
-from corkdeal.net import config, gateway, invariants, resolver, resp, subchannel
+from corkdeal.net import config, gateway, invariants, resolver, resp, rpc, subchannel
 from corkdeal.net import descriptors as descriptors_module
 
 from .net_world import ROOT, SETTINGS
@@ -89,6 +90,7 @@
             (b"", {}),
             (b"qps=nan,latency_ms=inf,other=1,qps", {}),
             (b"qps=x,latency_ms=2", {"latency_ms": 2.0}),
+            (b"qps=1_0,latency_ms= 2,qps=-3", {}),
         ]:
             self.assertEqual(resp.report_of(raw, names), report)
 
@@ -96,13 +98,11 @@
         S = t.Status
         for raw, status, value, report in [
             (b"*3\r\n$1\r\nv\r\n$-1\r\n$5\r\nqps=1\r\n", S.OK, b"$1\r\nv\r\n", b"qps=1"),
-            (b"*3\r\n*2\r\n:1\r\n*1\r\n:2\r\n$-1\r\n$-1\r\n", S.OK, b"*2\r\n:1\r\n*1\r\n:2\r\n", b""),
-            (b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", S.ERROR, None, b""),
-            (b"*0\r\n", S.ERROR, None, b""),
+            (b"*3\r\n*2\r\n$1\r\nv\r\n:2\r\n$-1\r\n$-1\r\n", S.OK, b"*2\r\n$1\r\nv\r\n:2\r\n", b""),
+            (b"*3\r\n$1\r\nv\r\n:x\r\n*1\r\n:2\r\n", S.OK, b"$1\r\nv\r\n", b""),
             (b"-BUSY\r\n", S.FULL, None, b""),
             (b"-BUSY qps=2\r\n", S.FULL, None, b"qps=2"),
             (b"-ERR failed qps=2\r\n", S.ERROR, None, b"qps=2"),
-            (b"+OK\r\n", S.ERROR, None, b""),
         ]:
             with self.subTest(raw):
                 parser = resp.Parser()
@@ -113,6 +113,77 @@
                 )
 
 
+    def test_replies_that_are_none(self):
+        for raw in (
+            b"*3\r\n$-1\r\n$-1\r\n$-1\r\n",
+            b"*3\r\n*0\r\n$-1\r\n$-1\r\n",
+            b"*3\r\n*1\r\n:1\r\n$-1\r\n$-1\r\n",
+            b"*3\r\n:1\r\n$-1\r\n$-1\r\n",
+            b"*0\r\n",
+            b"*-1\r\n",
+            b"+OK\r\n",
+            b"$1\r\nv\r\n",
+            b"-BUSYBODY\r\n",
+        ):
+            with self.subTest(raw), self.assertRaises(resp.Malformed):
+                parser = resp.Parser()
+                parser.feed(raw)
+                subchannel.read_reply(parser.next())
+
+
+class Requests(unittest.TestCase):
+    GOOD = b"c=look,t=large,d=900,units=1,spread=2,first=1"
+
+    def read(self, params, *more, name=b"API.READ", customer=b"%016x" % 7, rid=b"%016x" % 1):
+        parser = resp.Parser()
+        parser.feed(resp.command(name, customer, rid, params, *more))
+        return self.reader.read(parser.next(), 10.0, 10.0)
+
+    def setUp(self):
+        self.reader = rpc.Reader(config.settings_of(SETTINGS))
+
+    def test_good_ones(self):
+        got = self.read(self.GOOD).request
+        self.assertEqual(
+            (got.customer, got.units, got.spread, got.first_gateway, got.is_write), (7, 1.0, 2, 1, False)
+        )
+        got = self.read(b"d=900,c=note,t=small,k=5c,r=1,new=x", b"body", name=b"api.write", rid=b"0" * 16)
+        self.assertEqual((got.request.is_retry, got.request.is_write, got.id), (True, True, 0))
+
+    def test_bad_ones_never_reach_the_module(self):
+        for old, bad in (  # Python's int() and float() take most of these figures
+            (b"d=900", (b"d=+900", b"d=9_0", b"d= 900", b"d=", b"d=0", b"d=-1", b"d=1e3", b"d=nan", b"x=1")),
+            (b"units=1", (b"units=1_0", b"units=+1", b"units=nan", b"units=inf", b"units=0", b"units=2")),
+            (b"spread=2", (b"spread=0", b"spread=3", b"spread=1_0", b"spread=\xd9\xa2", b"spread=99999999")),
+            (b"first=1", (b"first=2", b"first=-1", b"units=1", b"first", b"=1", b"", b"r=yes")),
+            (b"look", (b"pay", b"note", b"no")),
+            (b"large", (b"no",)),
+        ):
+            for new in bad:
+                with self.subTest(new), self.assertRaises(rpc.BadRequest):
+                    self.read(self.GOOD.replace(old, new))
+        for more in (
+            {"customer": b"7"},
+            {"customer": b"%016x" % 2**33},
+            {"customer": b" " * 15 + b"7"},
+            {"rid": b""},
+            {"rid": b"+" + b"1" * 15},
+            {"name": b"API.WRITE"},
+        ):
+            with self.subTest(more), self.assertRaises(rpc.BadRequest):
+                self.read(self.GOOD, **more)
+        with self.assertRaises(rpc.BadRequest):
+            self.read(self.GOOD, b"body")  # API.READ has none
+        self.assertFalse(self.reader.open)
+
+    def test_the_id_of_an_open_request_is_refused(self):
+        self.read(self.GOOD)
+        with self.assertRaises(rpc.BadRequest):
+            self.read(self.GOOD)
+        self.reader.open.discard(1)
+        self.read(self.GOOD)
+
+
 class Lists(unittest.TestCase):
     def setUp(self):
         self.settings = config.settings_of(SETTINGS)
@@ -282,6 +353,7 @@
             (),
             {
                 "request": t.Request(1, 1, 0, 0, 1.0, 0, 1, 1.0),
+                "id": 1,
                 "attempt": None,
                 "done": False,
                 "channel": type("C", (), {"answer": lambda _, rpc, reply: answers.append(reply)})(),
@@ -311,6 +383,7 @@
         transport.getHandle = lambda: transport
         transport.sendmsg = lambda parts: transport.write(b"".join(parts)) or sum(map(len, parts))
         transport.shutdown = lambda how: None
+        transport.recv = unittest.mock.Mock(side_effect=BlockingIOError)
         connection.makeConnection(transport)
         return connection, transport
 
@@ -333,6 +406,7 @@
         connection, transport = self.up()
         connection.dataReceived(b"+PONG\r\n")
         self.assertEqual(self.ended, [t.Status.OK])
+        self.reactor.advance(2 * subchannel.SETTLE)
         pool.send(subchannel.Attempt(None, 0, "a", 0.0, 9.0, [b"y"]))
         self.assertEqual((transport.value(), len(self.reactor.tcpClients)), (b"xy", 1))
         pool.send(subchannel.Attempt(None, 0, "a", 0.0, 9.0, [b"z"]))  # one connection is the most here
@@ -344,6 +418,35 @@
         pool.send(subchannel.Attempt(None, 0, "a", 0.0, 9.0, [b"y"]))
         self.assertEqual(len(self.reactor.tcpClients), 2)
 
+    def test_what_lies_in_a_warm_connection_answers_no_rpc(self):
+        pool, _ = self.dial()
+        pool.most = 9
+        connection, transport = self.up()
+        connection.dataReceived(b"+PONG\r\n")
+        pool.send(subchannel.Attempt(None, 0, "a", 0.0, 9.0, [b"y"]))
+        self.assertEqual(len(self.reactor.tcpClients), 2)  # it has not settled: a second copy may follow
+        self.reactor.advance(2 * subchannel.SETTLE)
+        transport.recv = lambda n, flags: b"*"  # it lies there, and no event has told of it
+        pool.send(subchannel.Attempt(None, 0, "a", 0.0, 9.0, [b"z"]))
+        self.assertEqual((len(self.reactor.tcpClients), transport.value()), (3, b"x"))
+
+    def test_an_answer_that_is_none_fails_at_its_head_and_one_that_stalls_soon(self):
+        for data, wait in (
+            (b"*2\r\n", 0.0),
+            (b"$9\r\n", 0.0),
+            (b"*3\r\n$3000000000\r\n", 0.0),
+            (b"*3\r\n$9\r\nabc", subchannel.REPLY_LATE),
+            (b"-ERR with no end", subchannel.REPLY_LATE),
+        ):
+            with self.subTest(data):
+                pool, attempt = self.dial()
+                attempt.rpc = object()
+                connection, _ = self.up()
+                connection.dataReceived(data)
+                self.assertEqual(self.ended, [] if wait else [t.Status.RESET])
+                self.reactor.advance(wait)
+                self.assertEqual((self.ended, pool.open), ([t.Status.RESET], set()))
+
     def test_invariants_are_asserted_or_counted_by_build(self):
         with self.assertRaisesRegex(AssertionError, "odd"):
             invariants.holds(False, "odd")
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -48,7 +48,7 @@
         for cls, more, stays in ((b"look", b"", None), (b"note", b",k=ab", 1), (b"pay", b"", 0)):
             with self.subTest(cls):
                 client = self.client()
-                self.ask(client, cls, more=more, body=b"x")
+                self.ask(client, cls, more=more, body=b"x" if stays is not None else None)
                 first = self.world.next()
                 first.conn.end()
                 if cls == b"pay":
