Move a request on when its answer is lost, though its server answers others

Brain.watch() knew only of silent servers: an answer to any other request (server.answered_at) made it wait for one on a dead connection to the deadline; an answer that stopped short took 0.3 s of an aim of 0.38 s, and a connect 0.25 s of it.

watch() now gives up an attempt after 12 times the expected delay and a quarter of the aim, ejecting nobody, and the request moves on if its class permits (keyed ones within their group too). An answer without another byte for 0.1 s is spoilt, and a connect may take a quarter of the shortest aim (subchannel.REPLY_STALL, CONNECT_PART).

--- a/corkdeal/brain.py
+++ b/corkdeal/brain.py
@@ -32,7 +32,8 @@
 SUBSET = 10  # servers that one of many gateways prefers: each is then seen every few seconds
 FIRST_WORK, FIRST_PACE = 0.15, 0.5  # of the aim, a class's latency; of it, added by each request in work
 LEARN = 0.05  # weight of one new outcome: about 20 answers
-HANG_LEAST, HANG_TIMES = 0.4, 4.0  # s, and times the expected delay, of silence with work in hand
+HANG_LEAST, HANG_TIMES = 0.4, 4.0  # s, and times the usual delay, of silence with work in hand
+LOST_PART, LOST_TIMES = 0.25, 12.0  # of the aim, and times the expected delay, after which an answer is lost
 EJECT_RUN = 2  # failures more than answers, so that one failing half of the time is found too
 EJECT_FIRST, EJECT_MOST, SHUT_MOST = 1.0, 6.0, 16.0  # s out before a trial, doubling; the last for one class
 MANY_WAIT = 3.0  # times as long where many gateways try a server: together they try it often enough
@@ -362,12 +363,15 @@
     def watch(self, rid: int, server: Server) -> None:
         """Silence with work in hand: eject, and move what may run twice elsewhere in time."""
         req, (sent_at, _) = self.requests.get(rid), server.out.get(rid, (self.now, 0.0))
-        if not req or req.streaming or req.cancelled or self.now - max(sent_at, server.answered_at) <= max(
-                HANG_LEAST, HANG_TIMES * self.typical(req)):
+        if not req or req.streaming or req.cancelled:
             return
-        self.eject(server)
-        req.cancelled = (req.cls.effect is t.Effect.SAFE and self.s.may_cancel and self.may_retry(req)
-                         and self.now + self.typical(req) < req.came + req.cls.aim)
+        usual = self.typical(req)
+        if self.now - max(sent_at, server.answered_at) > max(HANG_LEAST, HANG_TIMES * usual):
+            self.eject(server)
+        elif self.now - sent_at <= max(LOST_PART * req.cls.aim, LOST_TIMES * self.expected(server, req)):
+            return  # later than that its connection has fallen silent, whatever others get from that server
+        req.cancelled = (req.cls.effect is not t.Effect.UNSAFE and self.s.may_cancel
+                         and self.may_retry(req) and self.now + usual < req.came + req.cls.aim)
         self.out += [t.Cancel(rid, req.attempts - 1)] if req.cancelled else []
 
     def short(self, a: Account, share: float, level: float) -> bool:
--- a/corkdeal/net/subchannel.py
+++ b/corkdeal/net/subchannel.py
@@ -18,7 +18,8 @@
 
 IDLE_PART = 0.8  # of the idle limit; a backend closes "at the latest" then, and a crossing send is a reset
 SETTLE = 0.005  # s that a connection rests after an answer: what comes behind it must not answer the next RPC
-REPLY_LATE = 0.3  # s from the first byte of an answer to its last; a backend writes it at once
+REPLY_STALL, REPLY_LATE = 0.1, 0.3  # s without another byte of an answer, and from its first to its last
+CONNECT_PART = 0.25  # of the shortest aim, after which a connection that is not up is given up
 REPLY_ITEMS = 3  # the value, the figures on use, the load report
 
 
@@ -134,7 +135,8 @@
         except Malformed:
             return self.spoilt(self.attempt)
         if not reply and not begun:  # one that never ends would hold its request up to the deadline
-            self.pool.reactor.callLater(REPLY_LATE, self.spoilt, self.attempt)
+            self.pool.reactor.callLater(REPLY_STALL, self.stalled, self.attempt,
+                                        self.pool.now() + REPLY_LATE, len(self.parser.buf))
         if reply:
             attempt, self.attempt = self.attempt, None
             if self.parser.midway:
@@ -144,6 +146,14 @@
                 self.pool.keep(self)
             self.pool.finish(attempt, reply)
 
+    def stalled(self, attempt: Attempt, until: float, had: int) -> None:
+        """Whether an answer that had begun still comes."""
+        have = len(self.parser.buf)
+        if not attempt.over and have > had and self.pool.now() < until:
+            self.pool.reactor.callLater(REPLY_STALL, self.stalled, attempt, until, have)
+        else:
+            self.spoilt(attempt)
+
     def spoilt(self, attempt: Attempt) -> None:
         """No sound answer came, or not the whole of one; the attempt may have run."""
         if not attempt.over:
@@ -218,7 +228,9 @@
     def __init__(self, reactor: Any, settings: t.Settings, most: int, now: Callable[[], float],
                  finished: Callable[[Attempt, Reply], None], room: Callable[[], bool]) -> None:
         self.reactor, self.most, self.now, self.finished, self.room = reactor, most, now, finished, room
-        self.connect_timeout, self.idle_limit = settings.connect_timeout, settings.conn_idle * IDLE_PART
+        aim = min(c.aim for c in settings.classes)
+        self.connect_timeout = min(settings.connect_timeout, CONNECT_PART * aim)
+        self.idle_limit = settings.conn_idle * IDLE_PART
         self.addresses: dict[str, tuple[str, int]] = {}
         self.idle: dict[str, list[Subchannel]] = {}
         self.open: set[Subchannel] = set()
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -53,6 +53,22 @@
     assert len(moved) == 1 and moved[0].server != first.server
 
 
+@pytest.mark.parametrize("effect", t.Effect)
+def test_an_answer_lost_on_its_way_moves_its_request_but_ejects_nobody(effect):
+    moves = effect is not t.Effect.UNSAFE
+    cls = t.RequestClass(aim=1.5, deadline=4.0, effect=effect, window=10.0)
+    g = started("a", classes=(cls,))
+    g.handle(101.0, [request(1, patience=4.0)])
+    for i in range(20):  # the server answers others all the while
+        g.handle(101.0 + i * 0.05, [request(10 + i, patience=4.0)])
+        g.handle(101.02 + i * 0.05, [outcome(10 + i, 0, "a", elapsed=0.02)])
+    actions = g.handle(102.2, [t.TimerDue(0)])
+    assert (g.requests[1].cancelled, g.servers["a"].ejected) == (moves, False)
+    if moves:
+        g.handle(102.2, [outcome(1, 0, "a", t.Status.CANCELLED, 1.2)])
+    assert (g.requests[1].attempts, len(pick(actions, (t.Fail, t.Refuse)))) == (1 + moves, 0)
+
+
 def test_most_of_the_fleet_is_never_ejected():
     g = started("a", "b", "c", "d")
     drive(g, 60, lambda s: t.Status.ERROR)
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -435,8 +435,8 @@
             (b"*2\r\n", 0.0),
             (b"$9\r\n", 0.0),
             (b"*3\r\n$3000000000\r\n", 0.0),
-            (b"*3\r\n$9\r\nabc", subchannel.REPLY_LATE),
-            (b"-ERR with no end", subchannel.REPLY_LATE),
+            (b"*3\r\n$9\r\nabc", subchannel.REPLY_STALL),
+            (b"-ERR with no end", subchannel.REPLY_STALL),
         ):
             with self.subTest(data):
                 pool, attempt = self.dial()
@@ -447,6 +447,26 @@
                 self.reactor.advance(wait)
                 self.assertEqual((self.ended, pool.open), ([t.Status.RESET], set()))
 
+    def test_an_answer_that_comes_in_pieces_is_waited_for_but_not_for_ever(self):
+        for pieces, status in ((3, t.Status.OK), (9, t.Status.RESET)):
+            _, attempt = self.dial()
+            attempt.rpc = object()
+            connection, _ = self.up()
+            value = b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (pieces, b"v" * pieces)
+            for piece in [value[:8], *(value[8 + i : 9 + i] for i in range(pieces - 1))]:
+                connection.dataReceived(piece)
+                self.reactor.advance(0.09)
+            connection.dataReceived(value[7 + pieces :])
+            self.assertEqual(self.ended, [status])
+
+    def test_a_connection_that_does_not_come_up_leaves_time_for_another(self):
+        self.dial()  # the whole timeout of the settings may be most of a short aim
+        self.assertEqual(self.reactor.tcpClients[-1][3], 0.25)
+        aims = [dataclasses.replace(c, aim=0.4) for c in self.gateway.settings.classes]
+        self.gateway.settings = dataclasses.replace(self.gateway.settings, classes=tuple(aims))
+        self.dial()
+        self.assertEqual(self.reactor.tcpClients[-1][3], 0.1)
+
     def test_invariants_are_asserted_or_counted_by_build(self):
         with self.assertRaisesRegex(AssertionError, "odd"):
             invariants.holds(False, "odd")
