End a planned stop although a channel has sent half a command

A test on real sockets that sends half a command and SIGTERM hangs for 20 s without the change: the process would wait for SIGKILL.

Also a test on real sockets that silent and half-sent channels end while one with work in hand stays.

--- a/corkdeal/net/channel.py
+++ b/corkdeal/net/channel.py
@@ -49,8 +49,9 @@
 
     @property
     def spare(self) -> bool:
-        """Whether it has no work in hand and is not on its way out."""
-        return not (self.waiting or self.closing or self.refused or self.half_closed)
+        """Whether it has no work in hand and is not on its way out; half a command is no work."""
+        leaving = self.refused or self.half_closed or (self.closing and not self.parser.midway)
+        return not (self.waiting or leaving)
 
     def connectionMade(self) -> None:
         """Join the others, unless all descriptors are in use for something better."""
@@ -168,7 +169,7 @@
 
     def drop(self) -> None:
         """Close at once, for another channel's sake; nothing is open on this one."""
-        self.closing = True
+        self.refused = True
         self.transport.abortConnection()
 
     def close_when_idle(self) -> None:
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -284,6 +284,28 @@
         self.assertEqual(self.process.wait(20), 0)
 
 
+    def test_planned_end_does_not_wait_for_a_command_that_never_comes_whole(self):
+        self.start(a={})
+        client = self.client()
+        client.send(command(b"PING") + b"*1\r\n$4\r\nPI")
+        self.assertEqual(client.read(), [b"PONG"])
+        self.process.send_signal(signal.SIGTERM)
+        self.assertTrue(client.read()[0].startswith(b"ERR timeout"))
+        self.assertEqual(self.process.wait(20), 0)
+
+    def test_silent_and_half_sent_channels_end_and_one_with_work_in_hand_does_not(self):
+        self.start(a={})
+        busy, half, silent = self.client(), self.client(), self.client()
+        self.ask(busy, b"pay", d=8000, body=b"x")
+        asked = self.world.next()
+        half.send(b"*1\r\n$4\r\nPI")
+        for client in (half, silent):
+            self.assertTrue(client.read()[0].startswith(b"ERR timeout"))
+            self.assertIsNone(client.read())
+        asked.conn.send(served())
+        self.assertEqual(busy.read(), [b"v"])
+
+
 class ReleaseBuild(DebugBuild):
     """The program as deploy/balancer.toml runs it."""
 
