--- a/corkdeal/net/resolver.py
+++ b/corkdeal/net/resolver.py
@@ -20,8 +20,8 @@
 
 log = Logger()
 STATES = {"Ready": t.ServerState.READY, "Terminating": t.ServerState.DRAINING, "Gone": t.ServerState.GONE}
-WAIT_MS = 20000  # how long one call of the watch may wait
-ANSWER_LATE = 1.5  # s past that after which a call counts as lost; the rules deem us told at 2 s
+WAIT_MS = 2000  # how long one call of the watch may wait; one whose connection died tells nothing for so long
+ANSWER_LATE = 1.0  # s past that after which a call counts as lost; the rules deem us told at 2 s
 PLAIN_LATE = 3.0  # s for a call that need not wait
 AGAIN, AGAIN_MOST = 0.1, 1.0  # s before another try after a failure, doubling
 CONNECT_LATE = 1.0  # s
--- a/tests/net_world.py
+++ b/tests/net_world.py
@@ -171,11 +171,11 @@
     def do_GET(self):
         query = urllib.parse.parse_qs(urllib.parse.urlparse(self.path).query)
         world, after = self.server.world, int(query.get("after", ["-1"])[0])
+        wait = int(query.get("wait_ms", ["20000"])[0]) / 1000
         with world.changed:
             world.calls.put(after)
-            world.changed.wait_for(
-                lambda: world.closed or (world.revision > after and not world.silent), PATIENCE
-            )
+            world.changed.wait_for(lambda: world.closed or world.silent or world.revision > after, wait)
+            world.changed.wait_for(lambda: world.closed or not world.silent, PATIENCE)
             body = (
                 world.raw
                 or json.dumps(
