--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	$(BIN)/python -m pytest
 
 lint: dev
-	$(BIN)/ruff check corkdeal tests examples
+	$(BIN)/ruff check corkdeal tests examples benchmarks
 
 run: build
 	exec env RELAY_CONFIG=examples/config.json $(BIN)/python -O -m corkdeal.net
