Keep what a gateway learned in a folder that outlasts it, aged on reading

Need: a restarted gateway forgot slow servers, usual work and what customers had spent. The decisions give and take plain records (memory.py); knowledge/ ages them by half-life and clock rules, packs them (msgpack in zstandard, sealed by blake3), and writes generations by write, fsync, rename, fsync of the folder in a thread beside the reactor. Within 30 s a gateway goes on under its old incarnation, so that ledgers with peers hold.

--- a/corkdeal/__init__.py
+++ b/corkdeal/__init__.py
@@ -3,3 +3,4 @@
 from .brain import Gateway
 
 __all__ = ["Gateway"]
+__version__ = "0.2.0"
--- a/corkdeal/brain.py
+++ b/corkdeal/brain.py
@@ -10,6 +10,7 @@
 
 from . import interface as t
 from . import peers
+from .memory import Memory
 from .plumbing import Plumbing
 from .state import Account, Edge, Pair, Pending, Server
 
@@ -54,6 +55,15 @@
         self.many, self.older_by = settings.gateways > NARROW, OLDER
         self.pace, self.slow, self.retries_left = FIRST_PACE, 1.0, RETRY_STORE
 
+    def remember(self, known: Memory) -> None:
+        """Begin with what an earlier life learned; servers and accounts get their records when they are met.
+        """
+        self.earlier = known
+        fleet = known.fleet(self.now, {c.name: FIRST_WORK * c.aim for c in self.s.classes})
+        self.take_fleet(fleet)
+        self.pace, self.slow = max(0.0, min(1.0, fleet.pace)), max(0.0, fleet.slow)
+        self.retries_left = max(0.0, min(RETRY_STORE, fleet.retries))
+
     def next_scan(self) -> float | None:
         """When to look again; never without cause, for of hundreds of gateways most are idle."""
         if self.neighbours or self.held or self.sent or not self.s.list_pushed:
@@ -70,7 +80,7 @@
             if entry.state is not t.ServerState.READY:
                 self.servers.pop(entry.server, None)
             elif known is None or entry.started > known.entry.started:
-                self.servers[entry.server] = Server(entry)
+                self.servers[entry.server] = self.new_server(entry)
             else:
                 known.entry = entry
         self.mine = list(self.servers.values())
@@ -84,6 +94,7 @@
             spread = max(1, min(spread, self.s.gateways))
             a = self.accounts[customer] = Account(self.s.plans[plan], plan, first, spread, self.now, self.now)
             self.join_ring(a, customer)
+            self.recall_account(a, customer)
         return self.accounts[customer]
 
     def join_ring(self, a: Account, customer: int) -> None:
--- /dev/null
+++ b/corkdeal/knowledge/document.py
@@ -0,0 +1,143 @@
+"""The inside of a file: format 3, and the way there from the older two.
+
+The body is one zstandard frame of a msgpack document. Accounts lie in pages, maps from the customer's number
+to its record, and a page's records are taken apart only when their customer comes: a start with 100,000
+accounts must not wait for them.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import msgspec
+import zstandard
+
+from ..memory import AccountMemory, FleetMemory, ServerMemory
+from . import migrate
+from .clock import Reading
+from .envelope import MOST_RAW, Damaged, TooNew, seal, unseal
+
+FORMAT, LEAST_READER = 3, 3
+LEVEL = 1  # of zstandard: higher ones cost more processor than the bytes are worth here
+MOST_SERVERS, MOST_ACCOUNTS = 100_000, 1_000_000
+MAP32 = b"\xdf"
+
+
+class Head(msgspec.Struct, frozen=True, forbid_unknown_fields=False):
+    """All but the accounts."""
+
+    name: str
+    program: str
+    clock: Reading
+    every: float  # s between writes: so much may have been spent unseen
+    clean: bool  # written at a planned end, after which nothing was spent
+    fleet: FleetMemory
+    servers: tuple[ServerMemory, ...]
+
+
+class Document(msgspec.Struct):
+    """A file's knowledge."""
+
+    head: Head
+    accounts: list[dict[int, msgspec.Raw]]
+
+    def raw_accounts(self) -> dict[int, msgspec.Raw]:
+        """All accounts by customer, still in their bytes; of one that stands twice the later."""
+        return self.accounts[0] if len(self.accounts) == 1 else {k: v for page in self.accounts
+                                                                  for k, v in page.items()}
+
+
+_document = msgspec.msgpack.Decoder(Document)
+_account = msgspec.msgpack.Decoder(AccountMemory)
+_encoder = msgspec.msgpack.Encoder()
+pack_account = _encoder.encode
+
+
+def read_account(raw: bytes | msgspec.Raw) -> AccountMemory:
+    """One account's record; `ValueError` for what is none."""
+    try:
+        made = _account.decode(raw)
+    except msgspec.MsgspecError as error:
+        raise ValueError(str(error)) from None
+    if not finite(made):
+        raise ValueError("a figure is not finite")
+    return made
+
+
+def finite(value: Any) -> bool:
+    """Whether no figure in nested records is infinite or none at all."""
+    if isinstance(value, float):
+        return math.isfinite(value)
+    return all(map(finite, value)) if isinstance(value, tuple) else True
+
+
+def page(entries: Iterable[bytes], count: int) -> bytes:
+    """A page from entries that each are a key and a record already packed, see `entry`."""
+    return MAP32 + count.to_bytes(4, "big") + b"".join(entries)
+
+
+def entry(customer: int, record: bytes | msgspec.Raw) -> bytes:
+    """A page's entry."""
+    return pack_account(customer) + bytes(record)
+
+
+def raw_parts(head: Head, pages: Iterable[bytes], count: int) -> Iterator[bytes]:
+    """The document's msgpack, in parts."""
+    yield b"\x82" + _encoder.encode("head") + _encoder.encode(head) + _encoder.encode("accounts")
+    yield b"\xdd" + count.to_bytes(4, "big")
+    yield from pages
+
+
+def encode(generation: int, head: Head, pages: list[bytes]) -> list[bytes]:
+    """A whole file, in parts: compressed and sealed. May run beside the reactor."""
+    raw = list(raw_parts(head, pages, len(pages)))
+    size = sum(map(len, raw))
+    if size > MOST_RAW:
+        raise ValueError(f"{size} bytes of knowledge are over {MOST_RAW}")
+    packer = zstandard.ZstdCompressor(level=LEVEL, write_content_size=True).compressobj(size=size)
+    packed = [part for part in map(packer.compress, raw) if part]
+    return seal(FORMAT, LEAST_READER, generation, size, [*packed, packer.flush()])
+
+
+def unpack(body: memoryview, raw_size: int) -> bytes:
+    """A zstandard frame's content, which must have exactly the stated size; memory is taken for no more."""
+    try:
+        stated = zstandard.frame_content_size(body)
+        if stated != raw_size:
+            raise Damaged(f"byte 80: unpacks to {stated} bytes, not to {raw_size}")
+        return zstandard.ZstdDecompressor().decompress(body, max_output_size=raw_size, allow_extra_data=False)
+    except zstandard.ZstdError as error:
+        raise Damaged(f"byte 80: {error}") from None
+
+
+def decode(data: bytes) -> tuple[int, int, Document]:
+    """A file's generation, the format that it has, and its document in today's form."""
+    outside = unseal(data)
+    if outside.least_reader > FORMAT:
+        raise TooNew(f"format {outside.format} needs a reader of format {outside.least_reader}, not {FORMAT}")
+    try:
+        if outside.format >= FORMAT:
+            document = _document.decode(unpack(outside.body, outside.raw_size))
+        else:
+            raw = bytes(outside.body) if outside.format == 1 else unpack(outside.body, outside.raw_size)
+            document = _document.decode(_encoder.encode(migrate.to_newest(outside.format, raw)))
+    except msgspec.MsgspecError as error:
+        raise Damaged(f"body: {error}") from None
+    except migrate.CannotMigrate as error:
+        raise Damaged(f"body: {error}") from None
+    checked(document)
+    return outside.generation, outside.format, document
+
+
+def checked(document: Document) -> None:
+    """What the types do not say: sizes, and that every figure is one."""
+    head = document.head
+    if len(head.servers) > MOST_SERVERS or sum(map(len, document.accounts)) > MOST_ACCOUNTS:
+        raise Damaged("body: more servers or accounts than any gateway has")
+    for name in ("clock", "fleet", "servers", "every"):
+        if not finite(getattr(head, name)):
+            raise Damaged(f"body: {name}: a figure is not finite")
+    if head.every < 0:
+        raise Damaged("body: every: below 0")
--- /dev/null
+++ b/corkdeal/knowledge/files.py
@@ -0,0 +1,120 @@
+"""The few operations on one folder that the store needs; tests record, fail or replay each of them.
+
+Everything goes through the folder's descriptor: a folder that is moved or replaced meanwhile is an error,
+never another folder's files. Nothing is followed through a symlink, and only regular files of this user are
+read.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import stat
+from collections.abc import Iterable
+
+OPEN = os.O_CLOEXEC | os.O_NOFOLLOW | os.O_NONBLOCK  # a FIFO in a file's place must not hang the reader
+PIECE = 1 << 20  # bytes in one write, so that no single call holds much
+
+
+class Unsafe(OSError):
+    """Something that is not a plain file or folder of this user's; the text names it."""
+
+
+class Locked(OSError):
+    """Another process keeps this folder."""
+
+
+class Files:
+    """One open folder."""
+
+    def __init__(self, path: str, make: bool = True) -> None:
+        """Open it, made with mode 0700 if it isn't there; `OSError` where that can't be."""
+        if make:
+            os.makedirs(path, mode=0o700, exist_ok=True)
+        self.path = path
+        self.folder = os.open(path, os.O_RDONLY | os.O_DIRECTORY | OPEN)
+        found = os.fstat(self.folder)
+        if found.st_uid != os.geteuid() or (make and found.st_mode & 0o022):
+            self.close()
+            raise Unsafe(f"{path}: not this user's alone to write")
+
+    def close(self) -> None:
+        """Let go of the folder."""
+        if self.folder >= 0:
+            os.close(self.folder)
+            self.folder = -1
+
+    def list(self) -> list[str]:
+        """The names in it."""
+        return os.listdir(self.folder)
+
+    def read(self, name: str, most: int) -> bytes:
+        """A file's bytes; one that is larger than `most` is read no further than one byte past it."""
+        with os.fdopen(os.open(name, os.O_RDONLY | OPEN, dir_fd=self.folder), "rb", buffering=0) as file:
+            checked(os.fstat(file.fileno()), name)
+            data, size = bytearray(), os.fstat(file.fileno()).st_size
+            if size > most:
+                raise Unsafe(f"{name}: {size} bytes, more than any file of ours")
+            while piece := file.read(min(PIECE, most + 1 - len(data))):
+                data += piece
+            return bytes(data)
+
+    def create(self, name: str) -> int:
+        """A new file's descriptor, mode 0600; an error if the name is taken."""
+        return os.open(name, os.O_WRONLY | os.O_CREAT | os.O_EXCL | OPEN, 0o600, dir_fd=self.folder)
+
+    def write(self, file: int, parts: Iterable[bytes]) -> None:
+        """Append all of it."""
+        for part in parts:
+            view = memoryview(part)
+            while view:
+                view = view[os.write(file, view[:PIECE]):]
+
+    def sync(self, file: int) -> None:
+        """Return once its content outlives a crash."""
+        os.fsync(file)
+
+    def finish(self, file: int) -> None:
+        """Close a file."""
+        os.close(file)
+
+    def rename(self, old: str, new: str) -> None:
+        """Put a file in a name's place, at one stroke."""
+        os.rename(old, new, src_dir_fd=self.folder, dst_dir_fd=self.folder)
+
+    def sync_folder(self) -> None:
+        """Return once the names in it outlive a crash."""
+        os.fsync(self.folder)
+
+    def unlink(self, name: str) -> None:
+        """Remove a name."""
+        os.unlink(name, dir_fd=self.folder)
+
+    def present(self) -> bool:
+        """Whether the path still leads to this folder."""
+        try:
+            return os.path.samestat(os.stat(self.path), os.fstat(self.folder))
+        except OSError:
+            return False
+
+    def lock(self, name: str) -> int:
+        """Hold a lock until the descriptor is closed or the process ends; `Locked` if another holds it."""
+        file = os.open(name, os.O_RDWR | os.O_CREAT | OPEN, 0o600, dir_fd=self.folder)
+        try:
+            checked(os.fstat(file), name)
+            fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            os.close(file)
+            raise Locked(f"{self.path}: kept by another process") from None
+        except BaseException:
+            os.close(file)
+            raise
+        return file
+
+
+def checked(found: os.stat_result, name: str) -> None:
+    """Refuse what is no regular file of this user's."""
+    if not stat.S_ISREG(found.st_mode):
+        raise Unsafe(f"{name}: no regular file")
+    if found.st_uid != os.geteuid():
+        raise Unsafe(f"{name}: another user's file")
--- /dev/null
+++ b/corkdeal/memory.py
@@ -0,0 +1,169 @@
+"""What the decisions learned, as plain records, and how it goes into and out of their own state.
+
+Nothing is decided and nothing is aged here: `corkdeal.knowledge` weighs each record by its age before it
+comes back. Times in a record are seconds of whatever clock the caller names; in the decisions they are the
+module's.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple, Protocol
+
+from . import interface as t
+from .state import Account, Edge, Pair, Server
+
+
+class ShutMemory(NamedTuple):
+    """A class that a server turned away: how long it was shut out, and for how much longer."""
+
+    cls: str
+    wait: float  # s
+    left: float  # s
+
+
+class ServerMemory(NamedTuple):
+    """One server's record."""
+
+    server: str
+    started: float  # wall time in s, 0 for long ago; another start is another server
+    at: float  # when the record was made
+    slow: float  # its latency in terms of what the fleet takes at like load
+    failures: int
+    ejected: bool
+    out_for: float  # s, the last ejection
+    shut: tuple[ShutMemory, ...] = ()
+    address: str = ""  # host:port as this gateway reached it; empty where it is not known
+
+
+class WorkMemory(NamedTuple):
+    """Usual latency of one class and size."""
+
+    cls: str
+    size: int
+    seconds: float
+    at: float = 0.0
+
+
+class PairMemory(NamedTuple):
+    """A ledger between this gateway and one adjacent member of a customer's ring."""
+
+    peer: int
+    slice: int  # parts of 1 / peers.SLICE_UNIT, received net
+    units: float
+    round: int
+    told_slice: float | None
+    told_level: float
+    told_at: float
+    told_totals: bool
+
+
+class EdgeMemory(NamedTuple):
+    """Running totals between this gateway and one neighbour in a wide ring."""
+
+    peer: int
+    asked: float
+    spent: float
+    heard: tuple[float, float] | None
+    told: float
+
+
+class AccountMemory(NamedTuple):
+    """One customer's account."""
+
+    plan: str
+    first: int
+    spread: int
+    at: float  # the time that level, ceiling and demand speak of
+    asked_at: float
+    level: float  # units
+    ceiling: float  # units
+    demand: float  # units a second
+    open: int  # attempts out
+    asked: float = 0.0  # running totals of a wide ring
+    spent: float = 0.0
+    pairs: tuple[PairMemory, ...] = ()
+    edges: tuple[EdgeMemory, ...] = ()
+
+
+class FleetMemory(NamedTuple):
+    """What is known of all servers together, and this gateway's place in its tier."""
+
+    pace: float  # part of a class's latency that each request in work adds
+    slow: float  # how slow the fleet is now against its usual work
+    retries: float  # further attempts saved up
+    work: tuple[WorkMemory, ...] = ()
+    me: int = 0
+    gateways: int = 1
+    born: int = 0  # this gateway's incarnation, ms modulo 2**32
+    round: int = 0  # of its messages
+    peers: tuple[tuple[int, int], ...] = ()  # incarnations of the others
+
+
+class Memory(Protocol):
+    """What an earlier life learned, aged; each record is given once, in the module's clock."""
+
+    def fleet(self, now: float, first_work: dict[str, float]) -> FleetMemory:
+        """The fleet's record; `first_work` is what a class of that name takes where nothing is known, in s.
+        """
+
+    def resumes(self) -> bool:
+        """Whether the ledgers with peers may go on where they were."""
+
+    def server(self, entry: t.ServerEntry, now: float) -> ServerMemory | None:
+        """The record of the server that this line of the list names."""
+
+    def account(self, customer: int, plan: t.Plan, first: int, spread: int,
+                now: float) -> AccountMemory | None:
+        """The customer's account, with what may have been spent unseen taken off its level."""
+
+
+def server_of(server: Server, classes: tuple[t.RequestClass, ...], now: float, shift: float) -> ServerMemory:
+    """A server's record as it stands; `shift` is what the caller's clock shows more than the module's, in s.
+    """
+    shut = tuple([ShutMemory(classes[cls].name, wait, max(0.0, until - now))
+                  for cls, (wait, until) in server.shut.items() if wait > 0 and cls is not None])
+    fresh = min(now, server.sent_at) if server.sent_at > 0 else now  # the record fades from the last send on
+    return ServerMemory(str(server.entry.server), server.entry.started, fresh + shift, server.slow,
+                        server.failures, server.ejected, server.out_for, shut)
+
+
+def put_server(server: Server, m: ServerMemory, classes: tuple[t.RequestClass, ...], now: float) -> None:
+    """Give a newly listed server its record; one that was out is due for a trial."""
+    names = {c.name: i for i, c in enumerate(classes)}
+    server.slow, server.failures = m.slow, m.failures
+    server.sent_at = now  # its record fades from here on; what faded before is in its weight
+    server.ejected, server.ejected_until, server.out_for = m.ejected, now, m.out_for
+    server.shut = {names[s.cls]: (s.wait, now + s.left) for s in m.shut if s.cls in names}
+
+
+def account_of(a: Account, shift: float) -> AccountMemory:
+    """An account as it stands; its level is that of `at`, so it need not be brought up to now."""
+    return AccountMemory(
+        a.plan.name, a.first, a.spread, a.at + shift, a.asked_at + shift, a.level, a.ceiling, a.demand,
+        a.open, a.asked, a.spent, tuple([PairMemory(peer, p.slice, p.units, p.round, p.told_slice,
+        p.told_level, max(0.0, p.told_at + shift), p.told_totals) for peer, p in a.pairs.items()]),
+        tuple([EdgeMemory(peer, e.asked, e.spent, e.heard, e.told) for peer, e in a.edges.items()]))
+
+
+def put_account(a: Account, m: AccountMemory, resumes: bool) -> None:
+    """Give a newly met account its record; ledgers only where both ends go on with them.
+
+    Attempts that were out ended with the process that had them, so none is open.
+    """
+    a.at, a.asked_at, a.level, a.ceiling, a.demand = m.at, m.asked_at, m.level, m.ceiling, m.demand
+    a.caught_up = True  # it knows what it spent; a neighbour need not tell it
+    for p in m.pairs if resumes else ():
+        if p.peer in a.pairs:
+            a.pairs[p.peer] = Pair(p.slice, p.units, p.round, p.told_slice, p.told_level, p.told_at,
+                                   told_totals=p.told_totals, sent_at=p.told_at)
+    for e in m.edges if resumes else ():
+        if e.peer in a.edges:
+            a.edges[e.peer] = Edge(e.asked, e.spent, e.heard, e.told)
+    if resumes:
+        a.asked, a.spent = m.asked, m.spent
+
+
+def moved_at(a: Account) -> float:
+    """When an account last changed otherwise than by its refill; attempts that end change it too, see `open`.
+    """
+    return max(a.asked_at, a.told_at)
--- a/corkdeal/net/__main__.py
+++ b/corkdeal/net/__main__.py
@@ -3,42 +3,39 @@
 from __future__ import annotations
 
 import gc
+import os
 import signal
 import sys
 
 from . import config
 
 GC_EVERY = 5000  # allocations more than frees; requests leave few cycles behind
+OPTIONS = "CORKDEAL_OPTIONS"  # names the operators' file; without it all that it could switch on is off
 
 
 def main() -> int:
-    """Serve until a planned end; bad configuration ends it with one line."""
+    """Serve until a planned end; bad configuration ends it with a line a fault."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is a gateway; its default ends it
+    options, path = None, os.environ.get(OPTIONS, "")
     try:
         given = config.load()
-    except config.ConfigError as error:
-        print(f"corkdeal: {error}", file=sys.stderr)
+        if path:
+            from ..options import load
+            options = load(path)
+    except ValueError as error:  # ConfigError and OptionsError
+        for line in getattr(error, "faults", None) or [error]:
+            print(f"corkdeal: {path + ': ' if line is not error else ''}{line}", file=sys.stderr)
         return 2
     from twisted.internet import reactor
-    from twisted.logger import (
-        FilteringLogObserver,
-        LogLevel,
-        LogLevelFilterPredicate,
-        globalLogBeginner,
-        textFileLogObserver,
-    )
-
-    from .gateway import Gateway
-
-    levels = LogLevelFilterPredicate(defaultLogLevel=LogLevel.warn)
-    levels.setLogLevelForNamespace("corkdeal", LogLevel.info)
-    observer = FilteringLogObserver(textFileLogObserver(sys.stdout), [levels])
-    globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False)
-    gateway = Gateway(reactor, given)
+
+    from .program import Program, log_to
+
+    log_to(options, given.name)
+    program = Program(reactor, given, options, path)
     for each in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(each, lambda *_: reactor.callFromThread(gateway.drain))
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(gateway.reload))
-    reactor.callWhenRunning(gateway.start)
+        signal.signal(each, lambda *_: reactor.callFromThread(program.gateway.drain))
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(program.reload))
+    reactor.callWhenRunning(program.start)
     gc.collect()
     gc.freeze()  # what is loaded by now stays; later collections need not look at it
     gc.set_threshold(GC_EVERY, 10, 50)
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -6,14 +6,14 @@
 import heapq
 import math
 import time
+import traceback
 from typing import Any
 
-from twisted.logger import Logger
-
 from .. import interface as t
+from .. import logs
 from ..brain import Gateway as Decisions
 from . import channel, invariants
-from .config import Config, ConfigError, load
+from .config import Config, ConfigError, load, text_of
 from .descriptors import Descriptors
 from .invariants import count, holds
 from .peering import Peering
@@ -22,7 +22,6 @@
 from .rpc import RPC, Reader
 from .subchannel import Attempt, Pool, Reply
 
-log = Logger()
 START_WAIT = 0.25  # s that a start waits for discovery's first word before it goes by `known`
 STAY_UP = 0.5  # s after SIGTERM that new connections are taken; they keep coming for 0.4
 PROBE_TIMEOUT = 0.25  # s
@@ -57,7 +56,8 @@
         self.wake: Any = None
         self.wake_at = math.inf
         self.port: Any = None
-        self.started = self.draining = False
+        self.started = self.draining = self.ending = False
+        self.before_end: list[Any] = []  # whose `stop(done)` is called after the last answer
         self.reported = ""
         self.act = {t.Send: self.send, t.Refuse: self.refuse, t.Fail: self.fail, t.Cancel: self.cancel,
                     t.SetTimer: self.set_timer, t.Probe: self.probe, t.CloseIdle: self.close_idle,
@@ -90,7 +90,7 @@
         if not self.started and not self.draining:
             self.started = True
             self.port = channel.listen(self.reactor, self.config.listen, self)
-            log.info("{name} serves on {at}", name=self.config.name, at=self.config.listen)
+            logs.event("serving", name=self.config.name, at=text_of(self.config.listen))
 
     def watch_at(self, at: tuple[str, int]) -> Watch:
         """A watch of the discovery at that address, which begins by asking for the whole list."""
@@ -102,21 +102,20 @@
             new = load()
         except ConfigError as error:
             count("reload_refused")
-            return log.error("configuration kept, the new one can't be used: {error}", error=error)
+            return logs.event("reload_refused", error=str(error))
         late = [f.name for f in dataclasses.fields(new) if f.name not in AT_START
                 and getattr(new, f.name) != getattr(self.config, f.name)]
         self.watch.stop()
         self.config = dataclasses.replace(self.config, discovery=new.discovery)
         self.watch = self.watch_at(new.discovery)
         self.watch.run()
-        log.info("configuration read again: discovery at {at}{late}", at=new.discovery,
-                 late=f"; at the next start: {', '.join(late)}" if late else "")
+        logs.event("reloaded", discovery=text_of(new.discovery), at_next_start=",".join(late))
 
     def drain(self) -> None:
         """Planned end: new connections are taken for a while, then channels close as they fall idle."""
         if not self.draining:
             self.draining = True
-            log.info("draining: {n} RPCs open", n=len(self.rpcs))
+            logs.event("draining", open=len(self.rpcs))
             self.reactor.callLater(STAY_UP, self.close)
 
     def close(self) -> None:
@@ -129,11 +128,18 @@
 
     def channel_ended(self) -> None:
         """End once draining is done and the last channel has closed."""
-        if self.draining and not self.channels and not self.rpcs and self.reactor.running and (
+        if self.draining and not (self.ending or self.channels or self.rpcs) and self.reactor.running and (
                 not self.port or self.port.disconnecting or self.port.disconnected):
+            self.ending = True
             self.watch.stop()
-            self.report()
-            self.reactor.stop()
+            self.end(self.before_end[:])
+
+    def end(self, left: list[Any]) -> None:
+        """Have each of those stop in turn, then end."""
+        if left:
+            return left.pop().stop(lambda: self.end(left))
+        self.report()
+        self.reactor.stop()
 
     def sweep(self) -> None:
         """Retire idle channels and subchannels now and then."""
@@ -145,7 +151,7 @@
         """Log the counts where they changed."""
         if (line := invariants.report()) != self.reported:
             self.reported = line
-            log.info("counts: {line}", line=line)
+            logs.event("counts", **dict(sorted(invariants.counts.items())))
         self.reactor.callLater(REPORT_EVERY, self.report)
 
     # Events
@@ -166,14 +172,14 @@
                     actions = self.decisions.handle(self.now(), events)
                 except Exception:  # costs the RPCs of these events only
                     count("module_failed")
-                    log.failure("the module failed on {events}", events=events)
+                    logs.event("module_failed", events=events, trace=traceback.format_exc())
                     actions = self.decisions.out + self.orphans(events)
                 for action in actions:
                     try:
                         self.act[type(action)](action)
                     except Exception:
                         count("action_failed")
-                        log.failure("could not carry out {action}", action=action)
+                        logs.event("action_failed", action=action, trace=traceback.format_exc())
                         if (rpc := self.rpcs.get(getattr(action, "id", -1))) is not None and not rpc.attempt:
                             self.fail(t.Fail(rpc.request.id))
         finally:
@@ -323,7 +329,7 @@
 
     def write_log(self, a: t.Log) -> None:
         """A line for the operators."""
-        log.info("module: {text}", text=a.text)
+        logs.event("module_says", text=a.text)
 
     def subscribe(self, a: t.Subscribe) -> None:
         """The watch runs always: nothing to do."""
--- /dev/null
+++ b/corkdeal/net/program.py
@@ -0,0 +1,100 @@
+"""Wires one gateway and the subsystems that the operators' file switches on; what is off is not imported."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING, Any
+
+from .. import logs
+from .config import Config
+from .gateway import Gateway
+from .invariants import count, counts
+
+if TYPE_CHECKING:
+    from ..knowledge.keeper import Keeper
+    from ..options import Options
+
+
+class Program:
+    """The gateway, the file that its subsystems are set by, and their common life."""
+
+    def __init__(self, reactor: Any, config: Config, options: Options | None, options_path: str) -> None:
+        self.reactor, self.config, self.options_path = reactor, config, options_path
+        self.options = options
+        self.gateway = Gateway(reactor, config)
+        self.keeper: Keeper | None = None
+        if options and options.knowledge:
+            self.keep(options).load()
+
+    def start(self) -> None:
+        """Begin to serve; knowledge is in force by now."""
+        self.gateway.start()
+        if self.keeper:
+            self.keeper.start()
+
+    def keep(self, options: Options) -> Keeper:
+        """Make the keeper of knowledge."""
+        from ..knowledge.keeper import Keeper
+
+        self.keeper = Keeper(self.reactor, self.gateway, options.knowledge, counts)
+        self.gateway.before_end.append(self.keeper)
+        return self.keeper
+
+    def reload(self) -> None:
+        """SIGHUP: the configuration and the operators' file, each whole or not at all."""
+        self.gateway.reload()
+        if not self.options_path:
+            return
+        from ..options import OptionsError, load
+        try:
+            new = load(self.options_path)
+        except OptionsError as error:
+            count("options_refused")
+            return logs.event("reload_refused", error=str(error))
+        old, self.options = self.options, new
+        changed = [name for name in new.__slots__ if getattr(new, name) != getattr(old, name, None)]
+        if "log" in changed:
+            log_to(new, self.config.name)
+        if "knowledge" in changed:
+            self.reload_knowledge(new)
+        logs.event("options_reloaded", changed=",".join(changed))
+
+    def reload_knowledge(self, options: Options) -> None:
+        """Switch keeping on or off, or change how."""
+        if self.keeper and options.knowledge:
+            self.keeper.reload(options.knowledge)
+        elif self.keeper:
+            self.gateway.before_end.remove(self.keeper)
+            self.keeper.stop(lambda: None, clean=False)
+            self.keeper = None
+        else:
+            self.keep(options).start()
+
+
+def log_to(options: Options | None, name: str) -> None:
+    """Have lines written as the operators' file says; without it by Twisted's text observer."""
+    from twisted.logger import (
+        FilteringLogObserver,
+        LogLevel,
+        LogLevelFilterPredicate,
+        globalLogBeginner,
+        textFileLogObserver,
+    )
+
+    global _observer
+    first = _observer is None
+    if options and options.log:
+        from ..logs import structured
+        logs.configure(structured.sink(options.log.format, name), options.log.level)
+        observer: Any = structured.from_library
+    else:
+        logs.configure(None)
+        levels = LogLevelFilterPredicate(defaultLogLevel=LogLevel.warn)
+        levels.setLogLevelForNamespace("corkdeal", LogLevel.info)
+        observer = FilteringLogObserver(textFileLogObserver(sys.stdout), [levels])
+    if first:
+        globalLogBeginner.beginLoggingTo([lambda entry: _observer(entry)], redirectStandardIO=False)
+    _observer = observer
+
+
+_observer: Any = None
--- a/corkdeal/plumbing.py
+++ b/corkdeal/plumbing.py
@@ -5,7 +5,7 @@
 import random
 
 from . import interface as t
-from . import peers
+from . import memory, peers
 from .state import Account, Edge, Pair, Pending, Server
 
 
@@ -33,8 +33,9 @@
         self.older_by = 0  # ms
         self.held: list[int] = []  # requests with no server yet
         self.timers: dict[int, int] = {}
-        self.token, self.round, self.ticking = 0, 0, False
-        self.born: int | None = None  # own incarnation, ms
+        self.token, self.round, self.ticking, self.begun = 0, 0, False, False
+        self.earlier: memory.Memory | None = None  # of an earlier life
+        self.born = 0  # own incarnation, ms; 0 until the first event
         self.peer_born: dict[int, int] = {}
         self.peer_heard: dict[int, float] = {}
         self.out: list[t.Action] = []
@@ -46,8 +47,10 @@
     def handle(self, now: float, events: list[t.Event]) -> list[t.Action]:
         """Take what happened at `now` and say what to do about it."""
         self.now, self.out = now, []
-        if self.born is None:
-            self.born = int(now * 1000) & 0xFFFFFFFF or 1
+        if not self.begun:
+            self.begun, start = True, int(now * 1000) & 0xFFFFFFFF or 1
+            if not self.born or (not self.resumed() and later(start, self.born)):
+                self.born = start
             self.scan()
         for event in events:
             if handler := self.handlers.get(type(event)):
@@ -60,6 +63,38 @@
             self.out.append(t.SetTimer(wait, 0))
         return self.out
 
+    def resumed(self) -> bool:
+        """Whether it goes on as an earlier incarnation, with that one's ledgers."""
+        return self.earlier is not None and self.earlier.resumes()
+
+    def take_fleet(self, known: memory.FleetMemory) -> None:
+        """Take usual work from an earlier life, and its incarnation or, where that is over, a later one."""
+        classes = {c.name: i for i, c in enumerate(self.s.classes)}
+        self.work = {(classes[w.cls], w.size): w.seconds for w in known.work}
+        if self.resumed():
+            self.born, self.round, self.peer_born = known.born, known.round, dict(known.peers)
+        elif known.born:  # the wall clock may have been set back, and peers take no earlier start
+            self.born = (known.born + 1) & 0xFFFFFFFF or 1
+
+    def learned(self) -> memory.FleetMemory:
+        """What is known of the fleet and of peers' incarnations, for a later life."""
+        work = tuple([memory.WorkMemory(self.s.classes[cls].name, size, seconds)
+                      for (cls, size), seconds in self.work.items()])
+        return memory.FleetMemory(self.pace, self.slow, self.retries_left, work, self.s.me, self.s.gateways,
+                                  self.born, self.round, tuple(self.peer_born.items()))
+
+    def new_server(self, entry: t.ServerEntry) -> Server:
+        """A server that the list names for the first time, with what an earlier life knew of it."""
+        server = Server(entry)
+        if self.earlier and (known := self.earlier.server(entry, self.now)):
+            memory.put_server(server, known, self.s.classes, self.now)
+        return server
+
+    def recall_account(self, a: Account, customer: int) -> None:
+        """Give an account that was just made what an earlier life knew of it."""
+        if self.earlier and (known := self.earlier.account(customer, a.plan, a.first, a.spread, self.now)):
+            memory.put_account(a, known, self.earlier.resumes())
+
     def set_deadline(self, rid: int, delay: float) -> None:
         """Have the request's last moment announced."""
         self.token += 1
@@ -73,10 +108,10 @@
             self.answer(req)
         elif not e.token:
             self.ticking = False
-            self.recall()
+            self.recall_news()
             self.scan()
 
-    def recall(self) -> None:
+    def recall_news(self) -> None:
         """Bring back the news that had to wait."""
         ready = [key for key, at in self.later.items() if at <= self.now]
         for key in ready:
