--- a/corkdeal/memory.py
+++ b/corkdeal/memory.py
@@ -18,7 +18,7 @@
 
     cls: str
     wait: float  # s
-    left: float  # s
+    left: float  # s, from the moment of the server's record
 
 
 class ServerMemory(NamedTuple):
@@ -120,9 +120,9 @@
 def server_of(server: Server, classes: tuple[t.RequestClass, ...], now: float, shift: float) -> ServerMemory:
     """A server's record as it stands; `shift` is what the caller's clock shows more than the module's, in s.
     """
-    shut = tuple([ShutMemory(classes[cls].name, wait, max(0.0, until - now))
-                  for cls, (wait, until) in server.shut.items() if wait > 0 and cls is not None])
     fresh = min(now, server.sent_at) if server.sent_at > 0 else now  # the record fades from the last send on
+    shut = tuple([ShutMemory(classes[cls].name, wait, max(0.0, until - fresh))
+                  for cls, (wait, until) in server.shut.items() if wait > 0 and cls is not None])
     return ServerMemory(str(server.entry.server), server.entry.started, fresh + shift, server.slow,
                         server.failures, server.ejected, server.out_for, shut)
 
--- a/corkdeal/options/reader.py
+++ b/corkdeal/options/reader.py
@@ -164,13 +164,14 @@
         value = float(value)
     elif kind is int and type(value) is float and value.is_integer():
         value = int(value)
+    said = f"{value:g}" if type(value) is float else f"{value!r:.60}"
     if type(value) is not kind or (kind is float and not math.isfinite(value)):
-        return None, f"must be {KINDS[kind]}, not {value!r:.60}"
+        return None, f"must be {KINDS[kind]}, not {said}"
     if bounds["choices"] and value not in bounds["choices"]:
-        return None, f"must be one of {', '.join(bounds['choices'])}, not {value!r:.60}"
+        return None, f"must be one of {', '.join(bounds['choices'])}, not {said}"
     least, most = bounds["least"], bounds["most"]
     if (least is not None and value < least) or (most is not None and value > most):
-        return None, f"must lie between {least} and {most}, not {value!r:.60}"
+        return None, f"must lie between {least} and {most}, not {said}"
     if bounds["absolute"] and (not value.startswith("/") or "\0" in value):
-        return None, f"must be an absolute path, not {value!r:.60}"
+        return None, f"must be an absolute path, not {said}"
     return value, ""
--- /dev/null
+++ b/tests/knowledge/samples.py
@@ -0,0 +1,127 @@
+"""Documents for tests, and how the frozen files of older and newer formats were made (run it to make them
+anew).
+"""
+
+import pathlib
+
+import msgspec
+import zstandard
+
+from corkdeal.knowledge.clock import Reading
+from corkdeal.knowledge.document import Document, Head, encode, entry, pack_account, page
+from corkdeal.knowledge.envelope import seal
+from corkdeal.memory import AccountMemory, FleetMemory, PairMemory, ServerMemory, ShutMemory, WorkMemory
+
+DATA = pathlib.Path(__file__).parent / "data"
+CLOCK = Reading(1_790_000_000.0, 5000.0, "boot-a")
+SERVER = ServerMemory(
+    "s-1", 1000.0, 4990.0, 4.0, 3, True, 2.0, (ShutMemory("note", 2.0, 1.5),), "10.1.0.1:6379"
+)
+ACCOUNT = AccountMemory(
+    "small",
+    0,
+    2,
+    4995.0,
+    4995.0,
+    1.5,
+    0.0,
+    0.5,
+    1,
+    pairs=(PairMemory(1, 1500, 0.5, 9, 0.45, 1.0, 4994.0, True),),
+)
+FLEET = FleetMemory(0.6, 1.5, 4.0, (WorkMemory("look", 1, 0.3, 5000.0),), 0, 2, 77, 12, ((1, 55),))
+HEAD = Head("n0", "test", CLOCK, 1.0, False, FLEET, (SERVER,))
+
+
+def document(head=HEAD, accounts=None):
+    accounts = {7: ACCOUNT} if accounts is None else accounts
+    return Document(head, [{key: msgspec.Raw(pack_account(a)) for key, a in accounts.items()}])
+
+
+def parts(generation=1, head=HEAD, accounts=None):
+    accounts = {7: ACCOUNT} if accounts is None else accounts
+    return encode(
+        generation, head, [page([entry(k, pack_account(a)) for k, a in accounts.items()], len(accounts))]
+    )
+
+
+def data(generation=1, **more):
+    return b"".join(parts(generation, **more))
+
+
+def sealed(form, raw, least=None, packed=True, generation=1):
+    body = zstandard.compress(raw) if packed else raw
+    return b"".join(seal(form, least or form, generation, len(raw), [body]))
+
+
+ONE = {
+    "name": "n0",
+    "wall": 1_790_000_000.0,
+    "pace": 0.7,
+    "slow": 1.2,
+    "servers": [
+        {
+            "id": "s-1",
+            "started": 1000.0,
+            "slow": 5.0,
+            "failures": 2,
+            "ejected": False,
+            "out_for": 0.0,
+            "at": 1_789_999_990.0,
+        }
+    ],
+    "work": [{"class": "look", "size": 1, "seconds": 0.25}],
+    "accounts": [
+        {
+            "customer": 7,
+            "plan": "small",
+            "first": 0,
+            "spread": 2,
+            "at": 1_789_999_995.0,
+            "level": 0.5,
+            "demand": 0.25,
+        }
+    ],
+}
+TWO = {
+    "name": "n0",
+    "clock": {"wall": 1_790_000_000.0, "boot": 5000.0, "boot_id": "boot-a"},
+    "interval": 2.0,
+    "servers": [
+        {
+            "id": "s-1",
+            "started": 1000.0,
+            "at": 4990.0,
+            "slow": 5.0,
+            "failures": 2,
+            "ejected": True,
+            "out_for": 1.0,
+            "shut": [["note", 2.0, 0.5]],
+        }
+    ],
+    "fleet": {"pace": 0.7, "slow": 1.2, "work": [["look", 1, 0.25]]},
+    "accounts": {
+        7: {
+            "plan": "small",
+            "first": 0,
+            "spread": 2,
+            "at": 4995.0,
+            "level": 0.5,
+            "demand": 0.25,
+            "open": 1,
+            "pairs": [{"peer": 1, "slice": 10, "units": 0.5}],
+        }
+    },
+}
+
+
+def make():
+    DATA.mkdir(exist_ok=True)
+    (DATA / "format-1.know").write_bytes(sealed(1, msgspec.json.encode(ONE), packed=False))
+    (DATA / "format-2.know").write_bytes(sealed(2, msgspec.msgpack.encode(TWO)))
+    (DATA / "format-3.know").write_bytes(data())
+    (DATA / "format-4.know").write_bytes(sealed(4, b"what only a later program knows", packed=False))
+
+
+if __name__ == "__main__":
+    make()
--- /dev/null
+++ b/tests/knowledge/test_forms.py
@@ -0,0 +1,272 @@
+"""Clock rules, ageing, files of all formats and everything that may be wrong with one."""
+
+import math
+import pathlib
+import subprocess
+import sys
+
+import msgspec
+import pytest
+import zstandard
+from hypothesis import given
+from hypothesis import strategies as st
+
+from corkdeal.knowledge import ageing, merge
+from corkdeal.knowledge.clock import Reading, age
+from corkdeal.knowledge.document import decode, read_account
+from corkdeal.knowledge.envelope import HEADER, MOST_RAW, Damaged, TooNew
+from corkdeal.memory import AccountMemory, PairMemory, ServerMemory, ShutMemory, WorkMemory
+
+from . import samples
+
+YEARS = 10 * 365 * 86400.0
+THEN = Reading(1_790_000_000.0, 5000.0, "a")
+
+
+@pytest.mark.parametrize(
+    ("wall", "boot", "boot_id", "expected", "odd"),
+    [
+        (7.0, 5007.0, "a", 7.0, ()),
+        (3607.0, 5007.0, "a", 7.0, ("clock_stepped",)),  # set an hour forward while it was down
+        (-3593.0, 5007.0, "a", 7.0, ("clock_stepped",)),
+        (YEARS, 5007.0, "a", 7.0, ("clock_stepped",)),
+        (-YEARS, 5007.0, "a", 7.0, ("clock_stepped",)),
+        (7.0, 4000.0, "a", math.inf, ("clock_impossible",)),
+        (90.0, 20.0, "b", 90.0, ("clock_rebooted",)),
+        (5.0, 20.0, "b", 20.0, ("clock_rebooted", "clock_stepped")),  # the boot alone took longer
+        (3600.0 + 90, 20.0, "b", 3690.0, ("clock_rebooted",)),  # forward: it counts for less
+        (-3600.0, 20.0, "b", math.inf, ("clock_future",)),
+        (YEARS, 20.0, "b", YEARS, ("clock_rebooted",)),
+        (-YEARS, 20.0, "b", math.inf, ("clock_future",)),
+        (9.0, 8000.0, "", 9.0, ("clock_boot_unknown",)),
+        (-9.0, 8000.0, "", math.inf, ("clock_future",)),
+        (math.nan, 5007.0, "a", math.inf, ("clock_impossible",)),
+    ],
+)
+def test_age_by_two_clocks(wall, boot, boot_id, expected, odd):
+    assert age(THEN, Reading(THEN.wall + wall, boot, boot_id)) == (expected, odd)
+
+
+AGES = st.floats(0, 2e5)
+KINDS = [ageing.SLOWNESS, ageing.FAILURES, ageing.WORK, ageing.FLEET, ageing.RETRIES]
+FIGURE = st.floats(0.01, 100)
+SERVERS = st.builds(
+    ServerMemory,
+    st.sampled_from("abc"),
+    st.sampled_from([0.0, 5.0, 9.0]),
+    st.floats(0, 100),
+    FIGURE,
+    st.integers(0, 30),
+    st.booleans(),
+    st.floats(0, 6),
+    st.lists(
+        st.builds(ShutMemory, st.sampled_from(["look", "pay"]), st.floats(0, 16), st.floats(0, 16)),
+        max_size=2,
+    ).map(tuple),
+    st.sampled_from(["", "10.0.0.1:1"]),
+)
+
+
+@given(st.sampled_from(KINDS), AGES, AGES)
+def test_weights_never_grow_and_end_at_the_horizon(kind, one, other):
+    young, old = sorted((one, other))
+    assert 1 >= kind.weight(young) >= kind.weight(old) >= 0
+    assert kind.weight(kind.horizon) == 0 == kind.weight(math.inf) == kind.weight(math.nan)
+    assert kind.weight(kind.half_life) == pytest.approx(0.5)
+
+
+@given(SERVERS, AGES, AGES)
+def test_an_aged_server_lies_between_its_record_and_an_unknown_one(m, one, other):
+    young, old = (ageing.aged_server(m, a) for a in sorted((one, other)))
+    for made in (young, old):
+        if made is not None:
+            assert min(m.slow, 1) <= made.slow <= max(m.slow, 1)
+            assert 0 <= made.failures <= m.failures and made.out_for <= m.out_for
+            assert made.ejected <= m.ejected and all(
+                s.left <= t.left for s, t in zip(made.shut, m.shut, strict=False)
+            )
+    if young is None:
+        assert old is None
+    elif old is not None:
+        assert abs(old.slow - 1) <= abs(young.slow - 1) and old.failures <= young.failures
+
+
+@given(
+    st.floats(0, 50), st.floats(0, 20), st.floats(0, 20), st.floats(0, 1), st.floats(0, 100), st.floats(0, 5)
+)
+def test_what_may_have_been_spent_unseen_makes_no_debt(level, demand, rate, share, quiet, unseen):
+    m = samples.ACCOUNT._replace(level=level, demand=demand)
+    spent = ageing.spent_unseen(m, rate, share, quiet, unseen)
+    assert 0 <= spent <= level + rate * share * unseen + 1e-9 and spent <= demand * unseen + 1e-9
+
+
+ACCOUNTS = st.builds(
+    AccountMemory,
+    st.sampled_from(["small", "large"]),
+    st.integers(0, 3),
+    st.integers(1, 4),
+    st.floats(0, 100),
+    st.floats(0, 100),
+    FIGURE,
+    FIGURE,
+    FIGURE,
+    st.integers(0, 9),
+    st.just(0.0),
+    st.just(0.0),
+    st.lists(
+        st.builds(
+            PairMemory,
+            st.integers(0, 3),
+            st.integers(-9, 9),
+            FIGURE,
+            st.integers(0, 9),
+            st.none() | FIGURE,
+            FIGURE,
+            FIGURE,
+            st.booleans(),
+        ),
+        max_size=2,
+    ).map(tuple),
+    st.just(()),
+)
+HEADS = st.builds(
+    lambda boot_id, wall, boot, servers, work, clean: msgspec.structs.replace(
+        samples.HEAD,
+        clock=Reading(wall, boot, boot_id),
+        servers=tuple({s.server: s for s in servers}.values()),
+        fleet=samples.FLEET._replace(work=tuple({(w.cls, w.size): w for w in work}.values())),
+        clean=clean,
+    ),
+    st.sampled_from("ab"),
+    st.floats(1000, 2000),
+    st.floats(100, 200),
+    st.lists(SERVERS, max_size=4),
+    st.lists(
+        st.builds(WorkMemory, st.sampled_from(["look", "pay"]), st.integers(1, 2), FIGURE, st.floats(0, 100))
+    ),
+    st.booleans(),
+)
+DOCUMENTS = st.builds(
+    samples.document,
+    HEADS,
+    st.dictionaries(st.integers(0, 2**33 - 1) | st.integers(0, 3), ACCOUNTS, max_size=5),
+)
+
+
+def plain(document):
+    return document.head, merge.accounts_of(document)
+
+
+@given(HEADS, st.dictionaries(st.integers(0, 2**33 - 1), ACCOUNTS, max_size=5), st.integers(1, 10**16 - 1))
+def test_what_is_written_is_read(head, accounts, generation):
+    said, form, document = decode(samples.data(generation, head=head, accounts=accounts))
+    assert (said, form) == (generation, 3) and plain(document) == (head, accounts)
+
+
+@given(DOCUMENTS, DOCUMENTS, DOCUMENTS)
+def test_merging_twice_or_in_another_order_makes_no_difference(target, one, other):
+    once = plain(merge.merge(target, [one, other]))
+    assert (
+        once
+        == plain(merge.merge(target, [other, one]))
+        == plain(merge.merge(merge.merge(target, [one]), [other]))
+    )
+    assert once == plain(merge.merge(merge.merge(target, [one, other]), [other, one]))
+    for key, account in once[1].items():  # ledgers are the target's own or none
+        assert not account.pairs or account == merge.accounts_of(target)[key]
+
+
+@pytest.mark.parametrize("form", [1, 2, 3])
+def test_frozen_files_of_every_format_are_read(form):
+    _, said, document = decode((samples.DATA / f"format-{form}.know").read_bytes())
+    head, account = document.head, read_account(document.raw_accounts()[7])
+    (server,), (work,) = head.servers, head.fleet.work
+    assert said == form and (head.name, server.server, server.started) == ("n0", "s-1", 1000.0)
+    assert head.clock.boot - server.at == pytest.approx(10) and head.clock.boot - account.at == pytest.approx(
+        5
+    )
+    assert (server.slow, account.level, head.every) == {1: (5, 0.5, 1), 2: (5, 0.5, 2), 3: (4, 1.5, 1)}[form]
+    assert (work.cls, work.size, head.clock.boot - work.at) == ("look", 1, 0.0)
+    assert [s.cls for s in server.shut] == ([] if form == 1 else ["note"]) and bool(account.pairs) is (
+        form == 3
+    )
+    assert (head.fleet.born > 0) is (form == 3)  # older ones can't go on with their ledgers
+
+
+def test_a_newer_format_is_told_apart_from_a_damaged_one():
+    with pytest.raises(TooNew, match="needs a reader of format 4"):
+        decode((samples.DATA / "format-4.know").read_bytes())
+
+
+@pytest.mark.parametrize("form", [1, 2, 3, 4])
+def test_a_file_cut_short_or_changed_anywhere_is_refused(form):
+    whole = (samples.DATA / f"format-{form}.know").read_bytes()
+    for size in range(len(whole)):
+        with pytest.raises(Damaged, match=r"^byte [0-9]+: "):
+            decode(whole[:size])
+    for at in range(len(whole)):
+        for flip in (0x01, 0x80, 0xFF):
+            with pytest.raises(Damaged, match=r"^byte [0-9]+: "):
+                decode(whole[:at] + bytes([whole[at] ^ flip]) + whole[at + 1 :])
+    with pytest.raises(Damaged):
+        decode(whole + b"\0")
+
+
+def resized(raw_size, body):
+    from corkdeal.knowledge.envelope import seal
+
+    return b"".join(seal(3, 3, 1, raw_size, [body]))
+
+
+@pytest.mark.parametrize(
+    ("data", "why"),
+    [
+        (resized(MOST_RAW + 1, b"x"), "would unpack to"),
+        (resized(100, zstandard.compress(bytes(1 << 28))), "unpacks to 268435456 bytes, not to 100"),
+        (
+            resized(100, zstandard.ZstdCompressor(write_content_size=False).compress(bytes(1 << 28))),
+            "unpacks to -1",
+        ),
+        (resized(3, zstandard.compress(b"abc")), "body: "),
+        (samples.sealed(3, msgspec.msgpack.encode({"head": 1, "accounts": []})), "head"),
+        (samples.sealed(1, b"{}", packed=False), "not of format 1: KeyError"),
+        (samples.sealed(2, msgspec.msgpack.encode({**samples.TWO, "accounts": 3})), "not of format 2"),
+        (samples.sealed(7, b"x", least=3), "body: "),
+        (
+            samples.data(head=msgspec.structs.replace(samples.HEAD, every=math.nan)),
+            "every: a figure is not finite",
+        ),
+        (
+            samples.data(
+                head=msgspec.structs.replace(samples.HEAD, servers=(samples.SERVER._replace(slow=math.inf),))
+            ),
+            "servers: a figure is not finite",
+        ),
+    ],
+)
+def test_a_sealed_file_with_a_bad_body_is_refused(data, why):
+    with pytest.raises(Damaged, match=why):
+        decode(data)
+
+
+def test_a_bomb_takes_no_memory():
+    code = (
+        "import resource, sys; from corkdeal.knowledge.document import decode\n"
+        "from corkdeal.knowledge.envelope import Damaged\n"
+        "resource.setrlimit(resource.RLIMIT_AS, (1 << 29, 1 << 29))\n"
+        "try:\n    decode(sys.stdin.buffer.read())\nexcept Damaged as e:\n    print(e)"
+    )
+    bomb = zstandard.compress(bytes(3 << 30))  # 3 GiB of nothing in about 100 kB
+    for data in (resized(3 << 30, bomb), resized(1 << 20, bomb)):
+        done = subprocess.run(
+            [sys.executable, "-c", code],
+            input=data,
+            capture_output=True,
+            check=True,
+            cwd=pathlib.Path(__file__).parents[2],
+        )
+        assert b"unpack" in done.stdout, done.stderr
+
+
+def test_the_header_is_as_documented():
+    assert HEADER.size == 80 and samples.data()[:8] == b"CORKKNOW"
--- /dev/null
+++ b/tests/knowledge/test_keeper.py
@@ -0,0 +1,204 @@
+"""The keeper beside a reactor of tests: stores that hang, fail, are locked or switched; turns that stay
+short.
+"""
+
+import threading
+from collections import Counter
+from types import SimpleNamespace
+
+import pytest
+from twisted.internet.task import Clock
+
+from corkdeal import logs
+from corkdeal.brain import Gateway
+from corkdeal.knowledge.files import Files
+from corkdeal.knowledge.keeper import Keeper
+from corkdeal.knowledge.store import Store
+from corkdeal.options import KnowledgeOptions
+
+from .. import helpers
+
+WAIT = 20.0  # s; far more than anything takes
+
+
+class Reactor(Clock):
+    """A fake clock whose calls from threads wait until the test takes them."""
+
+    def __init__(self):
+        super().__init__()
+        self.arrived, self.calls_from_threads = threading.Semaphore(0), []
+
+    def callFromThread(self, call, *args):
+        self.calls_from_threads.append((call, args))
+        self.arrived.release()
+
+    def take(self):
+        assert self.arrived.acquire(timeout=WAIT)
+        call, args = self.calls_from_threads.pop(0)
+        call(*args)
+
+    def turn(self, seconds=0.0):
+        """Let time pass, and whatever has to follow in further turns."""
+        self.advance(seconds)
+        while [c for c in self.getDelayedCalls() if c.getTime() <= self.seconds()]:
+            self.advance(0)
+
+
+class Faulty(Files):
+    """A folder whose writes hang while `gate` is clear, or fail while `broken`."""
+
+    gate, broken = threading.Event(), False
+
+    def create(self, name):
+        if Faulty.broken:
+            raise OSError(28, "No space left on device")
+        assert Faulty.gate.wait(WAIT)
+        return super().create(name)
+
+    def list(self):
+        assert Faulty.gate.wait(WAIT)
+        return super().list()
+
+
+@pytest.fixture
+def world(tmp_path):
+    Faulty.gate.set()
+    Faulty.broken = False
+    lines = []
+    logs.configure(lambda level, name, pairs: lines.append(name))
+    reactor, decisions = Reactor(), Gateway(helpers.settings(), seed=1)
+    decisions.handle(5000.0, [helpers.servers("a", "b"), helpers.request(1)])
+    gateway = SimpleNamespace(
+        decisions=decisions,
+        settings=decisions.s,
+        now=lambda: 5000.0 + reactor.seconds(),
+        config=SimpleNamespace(name="n0"),
+        pool=SimpleNamespace(addresses={"a": ("10.0.0.1", 1)}),
+    )
+    counts = Counter()
+
+    def keeper(**more):
+        options = KnowledgeOptions(path=str(tmp_path), **more)
+        return Keeper(reactor, gateway, options, counts, lambda *a: Store(*a, opener=Faulty))
+
+    yield SimpleNamespace(keeper=keeper, reactor=reactor, counts=counts, lines=lines, path=tmp_path)
+    Faulty.gate.set()
+    logs.configure(None)
+
+
+def files(world):
+    return sorted(p.name[:16].lstrip("0") for p in (world.path / "n0").glob("*.know"))
+
+
+def test_it_writes_now_and_then_and_is_read_by_the_next_life(world):
+    keeper = world.keeper(every=2.0)
+    keeper.load()
+    assert world.lines == ["knowledge_none"]
+    keeper.start()
+    for _ in range(3):
+        world.reactor.turn(2.0)
+        world.reactor.take()
+    assert files(world) == ["2", "3"] and world.counts["knowledge_written"] == 3
+    ended = []
+    keeper.stop(lambda: ended.append(1))
+    world.reactor.take()
+    assert ended == [1] and files(world) == ["3", "4"]
+    following = world.keeper()
+    while "knowledge_loaded" not in world.lines:  # the first may still be letting go of the folder
+        following.load()
+    assert following.collector.recall.head.clean
+    following.stop(lambda: None)
+
+
+def test_a_store_that_hangs_is_given_up_and_service_goes_on(world):
+    Faulty.gate.clear()
+    keeper = world.keeper(read_wait=0.05, stop_wait=0.5)
+    keeper.load()
+    assert world.lines == ["knowledge_late"] and world.counts["knowledge_late"] == 1
+    keeper.start()
+    for _ in range(3):
+        world.reactor.turn(1.0)
+    assert world.counts["knowledge_write_skipped"] == 2  # one waits in the thread, none piles up behind it
+    ended = []
+    keeper.stop(lambda: ended.append(1))
+    world.reactor.turn(0.4)
+    assert not ended
+    world.reactor.turn(0.2)
+    assert ended == [1] and world.counts["knowledge_stopped_late"] == 1
+    Faulty.gate.set()
+
+
+def test_a_failing_disk_is_told_once_tried_more_rarely_and_heals_by_itself(world):
+    keeper = world.keeper(every=1.0)
+    keeper.load()
+    keeper.start()
+    Faulty.broken = True
+    tried = []
+    for _ in range(5):
+        while not keeper.busy:
+            world.reactor.turn(0.5)
+        tried.append(world.reactor.seconds())
+        world.reactor.take()
+    assert world.lines.count("knowledge_failing") == 1 and world.counts["knowledge_write_failed"] == 5
+    gaps = [b - a for a, b in zip(tried, tried[1:], strict=False)]
+    assert gaps == sorted(gaps) and gaps[0] >= 1 and gaps[-1] == 10.0
+    Faulty.broken = False
+    while not keeper.busy:
+        world.reactor.turn(0.5)
+    world.reactor.take()
+    assert world.lines[-1] == "knowledge_healed" and files(world) == ["1"]
+    keeper.stop(lambda: None)
+
+
+def test_a_locked_folder_is_told_once_and_taken_when_it_is_free(world):
+    holder = Store(str(world.path / "n0"))
+    holder.open()
+    keeper = world.keeper()
+    keeper.load()
+    keeper.start()
+    for _ in range(2):
+        while not keeper.busy:
+            world.reactor.turn(1.0)
+        world.reactor.take()
+    assert world.lines == ["knowledge_locked"] and files(world) == []
+    holder.close()
+    while not keeper.busy:
+        world.reactor.turn(1.0)
+    world.reactor.take()
+    assert world.lines[-1] == "knowledge_unlocked" and files(world) == ["1"]
+    keeper.stop(lambda: None)
+
+
+def test_a_reload_changes_the_pace_the_generations_and_the_folder(world, tmp_path):
+    keeper = world.keeper(every=5.0)
+    keeper.load()
+    keeper.start()
+    keeper.reload(KnowledgeOptions(path=str(tmp_path), every=1.0, generations=3))
+    for _ in range(4):
+        world.reactor.turn(1.0)
+        world.reactor.take()
+    assert files(world) == ["2", "3", "4"]
+    keeper.reload(KnowledgeOptions(path=str(tmp_path / "other"), every=1.0))
+    world.reactor.turn(1.0)
+    world.reactor.take()
+    assert [p.name for p in (tmp_path / "other" / "n0").glob("*.know")] == ["0000000000000001.know"]
+    keeper.stop(lambda: None)
+
+
+def test_many_accounts_are_collected_in_many_turns(world):
+    keeper = world.keeper()
+    decisions = keeper.gateway.decisions
+    for customer in range(3000):
+        decisions.account(customer, 0, 0, 3)
+    ticks = iter(i * 0.0004 for i in range(10**6))  # each look at the clock, 0.4 ms have passed
+    turns = sum(
+        1 for _ in keeper.collector.steps(keeper.gateway.now, lambda: helpers_clock(), lambda: next(ticks))
+    )
+    assert turns >= 7 and len(keeper.collector.packed) == 3001 - 1
+    keeper.stop(lambda: None)
+
+
+def helpers_clock():
+    from corkdeal.knowledge.clock import Reading
+
+    return Reading(0.0, 100.0, "x")
--- /dev/null
+++ b/tests/knowledge/test_program.py
@@ -0,0 +1,154 @@
+"""The real program with knowledge on: killed at any moment, restarted, its folder taken, its file changed."""
+
+import json
+import os
+import pathlib
+import random
+import signal
+import threading
+import time
+
+from corkdeal.knowledge.document import decode, read_account
+from corkdeal.knowledge.store import NAME, Store
+
+from ..net_world import PATIENCE, Program, served
+
+KILLS = 24
+
+
+class Knowing(Program):
+    build = ("-O",)
+
+    def begin(self, **more):
+        self.state = pathlib.Path(self.folder.name, "state")
+        options = f'knowledge path="{self.state}" every=0.1 read-wait=10 stop-wait=10\n'
+        self.start(options=options, **more)
+
+    def logged(self, text):
+        return next(line for line in reversed(self.lines) if text in line)
+
+    def again(self):
+        self.process.wait(PATIENCE)
+        self.process.stdout.close()
+        self.lines.clear()
+        self.run_program()
+        self.line("serving ")
+
+    def spend(self, client, rid, customer=1, **more):
+        """One request of a customer with two units; the answer."""
+        self.ask(client, customer=customer, rid=rid, **more)
+
+    def files(self):
+        return sorted(p.name for p in (self.state / "n0").glob("*.know"))[-1:]
+
+    def until(self, true):
+        for _ in range(int(PATIENCE / 0.01)):
+            if true():
+                return
+            time.sleep(0.01)
+        self.fail("it never came true")
+
+    def newest(self):
+        store = Store(str(self.state / "n0"))
+        store.open()
+        loaded = store.load()
+        store.close()
+        return loaded
+
+    def test_a_spent_bucket_is_spent_after_a_planned_end_and_after_a_kill(self):
+        self.begin(a={})
+        client = self.client()
+        for rid in range(2):
+            self.spend(client, rid)
+            self.world.next().conn.send(served())
+            self.assertEqual(client.read(), [b"v"])
+        for rid, how in enumerate((signal.SIGTERM, signal.SIGKILL), 10):
+            if how is signal.SIGKILL:  # only after something was written since the start
+                before = self.files()
+                self.until(lambda before=before: self.files() > before)
+            self.process.send_signal(how)
+            self.again()
+            self.assertIn("accounts=1", self.logged("knowledge_loaded"))
+            self.assertIn("resumes=True", self.logged("knowledge_loaded"))
+            client = self.client()
+            self.spend(client, rid)
+            self.assertTrue(client.read()[0].startswith(b"BUSY"))
+        self.assertTrue(self.world.asked.empty())
+
+    def test_kills_at_random_moments_never_leave_a_file_that_is_not_whole(self):
+        self.begin(a={}, b={})
+        chance, stop = random.Random(7), threading.Event()
+
+        def answer():
+            while not stop.is_set():
+                asked = self.world.next()
+                try:
+                    asked.conn.send(served())
+                except (OSError, AttributeError):
+                    continue
+
+        threading.Thread(target=answer, daemon=True).start()
+        seen, rid = 0, 0
+        for _ in range(KILLS):
+            client = self.client()
+            for _ in range(chance.randrange(1, 40)):
+                rid += 1
+                self.spend(client, rid, customer=2 + rid % 50)
+                self.assertIsNotNone(client.read())
+            killer = threading.Timer(chance.uniform(0, 0.25), self.process.kill)
+            killer.start()
+            killer.join()
+            self.process.wait(PATIENCE)
+            loaded = self.newest()
+            self.assertEqual(loaded.refused, [])
+            if loaded.document is not None:
+                generation = int(NAME(loaded.file)[1])
+                self.assertGreaterEqual(generation, seen)
+                seen = generation
+                for raw in loaded.document.raw_accounts().values():
+                    read_account(raw)
+            self.again()
+            self.assertNotIn("knowledge_refused", "".join(self.lines))
+        stop.set()
+        self.assertGreater(seen, 0)
+
+    def test_two_of_one_name_and_a_reload_that_is_refused_and_one_that_switches_it_off(self):
+        self.begin(a={})
+        self.assertIn("folder=", self.logged("knowledge_none"))
+        first, self.lines = self.process, []
+        other = dict(self.config, listen="127.0.0.1:0", peer_listen=None, peers=[])
+        other["listen"] = self.config["listen"].replace("127.0.0.1", "127.0.0.2")
+        path = pathlib.Path(self.folder.name, "other.json")
+        path.write_text(json.dumps(other))
+        self.env["RELAY_CONFIG"] = str(path)
+        self.run_program()
+        self.addCleanup(first.stdout.close)
+        self.addCleanup(first.wait)
+        self.addCleanup(first.kill)
+        self.line("knowledge_locked")
+        self.line("serving ")
+        self.options.write_text("knowledge every=0\n")
+        self.process.send_signal(signal.SIGHUP)
+        self.assertIn("knowledge.every: must lie between", self.line("reload_refused"))
+        self.options.write_text("")
+        self.process.send_signal(signal.SIGHUP)
+        self.assertIn("changed=knowledge", self.line("options_reloaded"))
+        self.process.send_signal(signal.SIGTERM)
+        self.assertEqual(self.process.wait(PATIENCE), 0)
+
+    def test_a_folder_taken_away_is_made_anew_and_a_file_in_its_place_costs_one_line(self):
+        self.begin(a={})
+        home = self.state / "n0"
+        self.until(self.files)
+        os.rename(self.state, self.state.with_name("away"))
+        self.until(self.files)
+        os.rename(self.state, self.state.with_name("away2"))
+        self.state.write_bytes(b"")
+        self.line("knowledge_failing")
+        client = self.client()
+        self.spend(client, 1, customer=2)
+        self.world.next().conn.send(served())
+        self.assertEqual(client.read(), [b"v"])
+        self.state.unlink()
+        self.line("knowledge_healed")
+        decode(max(home.glob("*.know")).read_bytes())
--- /dev/null
+++ b/tests/knowledge/test_recall.py
@@ -0,0 +1,254 @@
+"""What the decisions get back: servers, accounts and ledgers, through the real form on disk."""
+
+import math
+from collections import Counter
+
+import msgspec
+import pytest
+
+from corkdeal import interface as t
+from corkdeal.brain import Gateway
+from corkdeal.knowledge import document
+from corkdeal.knowledge.clock import Reading
+from corkdeal.knowledge.collect import Collector
+from corkdeal.knowledge.recall import ROUND_LEAP, Recall
+from corkdeal.memory import ServerMemory, ShutMemory
+
+from .. import helpers
+from . import samples
+
+CLASSES = (
+    t.RequestClass(1.0, 3.0, name="look"),
+    t.RequestClass(1.0, 3.0, name="pay", effect=t.Effect.UNSAFE),
+)
+PLAN = t.Plan(rate=6.0, burst=30.0, name="small")
+BOOT = 5000.0
+
+
+def settings(me=0, gateways=3, plan=PLAN, classes=CLASSES):
+    return helpers.settings(me, gateways, classes, (plan,))
+
+
+def kept(gateway, now, clean=False, every=1.0, recall=None, collector=None):
+    """A gateway's document, read back from its bytes; the boot clock shows 3,000 s less than the module's."""
+    clock = Reading(now, now - 3000.0, "boot")
+    collector = collector or Collector(gateway, "n0", "test", recall)
+    for _ in collector.steps(lambda: now, lambda: clock, lambda: 0.0):
+        pass
+    pages = list(collector.pages())
+    head = collector.head(now, clock, every, clean, {"a": "10.0.0.1:1"})
+    return document.decode(b"".join(document.encode(1, head, pages)))[2]
+
+
+def recalled(doc, age, now, s=None, addresses=None):
+    counts = Counter()
+    return (
+        Recall(doc, age, now, s or settings(), (addresses or {}).get, counts)
+        if addresses
+        else Recall(doc, age, now, s or settings(), lambda name: "", counts)
+    )
+
+
+def reborn(doc, age, now, s=None):
+    gateway = Gateway(s or settings(), seed=2)
+    gateway.now = 0.0
+    gateway.remember(recalled(doc, age, now, s))
+    return gateway
+
+
+def listed(*names, **more):
+    return helpers.servers(*names, **more)
+
+
+def test_a_restarted_gateway_goes_on_where_it_was():
+    old = Gateway(settings(), seed=1)
+    old.handle(8000.0, [listed("a", "b", "c")])
+    old.work[0, 1], old.pace, old.slow, old.retries_left = 0.4, 0.7, 2.0, 3.0
+    bad = old.servers["a"]
+    bad.slow, bad.failures, bad.ejected, bad.out_for, bad.shut = 5.0, 4, True, 2.0, {1: (2.0, 8009.0)}
+    bad.sent_at, bad.ejected_until = 8000.5, 8002.0
+    for number in range(9):
+        old.handle(8000.0 + number / 10, [helpers.request(number, units=2.0)])
+    level = old.accounts[7].level
+    new = reborn(kept(old, 8001.0, clean=True), 2.0, 8003.0)
+    new.handle(8003.0, [listed("a", "b", "c")])
+    assert new.work[0, 1] == pytest.approx(0.4, rel=0.01) and new.pace == pytest.approx(0.7, rel=0.01)
+    assert 1.6 < new.slow < 2.0 and 3.0 < new.retries_left < 5.0
+    a = new.servers["a"]
+    assert 4.6 < a.slow < 5.0 and a.failures == 4 and a.out_for < 2.0
+    assert a.ejected and a.ejected_until == 8003.0  # due for a trial, no verdict
+    assert a.shut[1][1] == pytest.approx(8009.0)
+    new.handle(8003.0, [helpers.request(99, units=2.0)])
+    account = new.accounts[7]
+    filled = min(10.0, level + 2.0 * (8003.0 - 8000.8))
+    assert account.level == pytest.approx(filled - 2.0 * account.open, abs=0.1)
+
+
+def test_unseen_spending_is_assumed_after_a_kill_and_not_after_a_planned_end():
+    old = Gateway(settings(), seed=1)
+    old.handle(8000.0, [listed("a")])
+    for number in range(8):
+        old.handle(8000.0 + number / 8, [helpers.request(number, units=1.0)])
+    levels = {}
+    for clean in (True, False):
+        new = reborn(kept(old, 8001.0, clean), 1.0, 8002.0)
+        new.handle(8002.0, [listed("a"), helpers.request(1, units=0.001)])
+        levels[clean] = new.accounts[7].level
+    demand = old.accounts[7].demand * math.exp(-(8001.0 - 8000.875) / 2.0)
+    assert levels[True] - levels[False] == pytest.approx(demand * 1.0, rel=0.02) and levels[False] >= 0
+
+
+SERVER = ServerMemory("a", 1000.0, BOOT, 5.0, 4, True, 2.0, (ShutMemory("gone", 1.0, 1.0),), "10.0.0.1:1")
+
+
+@pytest.mark.parametrize(
+    ("entry", "at", "found", "counted"),
+    [
+        (
+            t.ServerEntry("a", t.ServerState.READY, started=1000.0),
+            "10.0.0.1:1",
+            True,
+            "knowledge_server_used",
+        ),
+        (t.ServerEntry("a", t.ServerState.READY, started=1000.0), "", True, "knowledge_server_used"),
+        (
+            t.ServerEntry("a", t.ServerState.READY, started=1007.0),
+            "10.0.0.1:1",
+            False,
+            "knowledge_server_restarted",
+        ),
+        (
+            t.ServerEntry("a", t.ServerState.READY, started=1000.0),
+            "10.0.0.9:1",
+            False,
+            "knowledge_server_moved",
+        ),
+        # at a known address
+        (t.ServerEntry("new", t.ServerState.READY, started=1000.0), "10.0.0.1:1", False, ""),
+    ],
+)
+def test_a_record_is_only_for_the_process_it_was_made_of(entry, at, found, counted):
+    doc = samples.document(msgspec.structs.replace(samples.HEAD, servers=(SERVER,)), {})
+    recall = recalled(doc, 1.0, 9000.0, addresses={entry.server: at})
+    made = recall.server(entry, 9000.0)
+    assert (made is not None) is found and (not counted or recall.counts[counted] == 1)
+    if found:
+        assert recall.server(entry, 9000.0) is None and made.shut == ()
+        assert recall.counts["knowledge_class_unknown"] == 1
+
+
+def test_a_list_older_than_the_record_leaves_it_for_the_newer_one():
+    doc = samples.document(msgspec.structs.replace(samples.HEAD, servers=(SERVER,)), {})
+    gateway = reborn(doc, 1.0, 9000.0)
+    gateway.handle(9000.0, [listed("a", started=500.0, kind=t.ListKind.CACHED)])
+    assert gateway.servers["a"].slow == 1.0
+    gateway.handle(9000.5, [listed("a", started=1000.0)])
+    assert gateway.servers["a"].slow > 4.0
+    gateway.handle(9001.0, [listed("a", started=9000.9)])  # and started again since
+    assert gateway.servers["a"].slow == 1.0 and not gateway.servers["a"].ejected
+
+
+@pytest.mark.parametrize(
+    ("plan", "first", "spread", "age", "counted"),
+    [
+        (PLAN, 0, 2, 5.0, "knowledge_account_used"),
+        (t.Plan(rate=6.0, name="large"), 0, 2, 5.0, "knowledge_plan_unknown"),
+        (PLAN, 1, 2, 5.0, "knowledge_account_moved"),
+        (PLAN, 0, 3, 5.0, "knowledge_account_moved"),
+        (PLAN, 0, 2, 3599.0, "knowledge_account_too_old"),
+    ],
+)
+def test_an_account_is_only_taken_for_the_same_plan_and_set(plan, first, spread, age, counted):
+    recall = recalled(samples.document(), age, 9000.0, settings(plan=plan))
+    made = recall.account(7, plan, first, spread, 9000.0)
+    assert (made is not None) is (counted == "knowledge_account_used") and recall.counts == {counted: 1}
+    assert recall.account(7, plan, first, spread, 9000.0) is None
+
+
+@pytest.mark.parametrize(
+    ("age", "me", "gateways", "resumes"),
+    [(5.0, 0, 2, True), (31.0, 0, 2, False), (math.inf, 0, 2, False), (5.0, 1, 2, False), (5.0, 0, 3, False)],
+)
+def test_ledgers_go_on_only_soon_and_in_the_same_place(age, me, gateways, resumes):
+    s = settings(me, gateways)
+    gateway = reborn(samples.document(), age, 9000.0, s)
+    gateway.handle(9000.0, [listed("a"), helpers.request(1, spread=2)])
+    if resumes:
+        assert (gateway.born, gateway.peer_born) == (77, {1: 55}) and gateway.round > ROUND_LEAP
+        assert gateway.accounts[7].pairs[1].slice == 1500
+    else:
+        assert gateway.born == 9000_000 and gateway.peer_born == {}
+
+
+def test_a_wall_clock_set_back_does_not_make_peers_ignore_the_new_start():
+    # the module's clock shows 10 ms, the old start was at 77 ms
+    gateway = reborn(samples.document(), 40.0, 0.01)
+    gateway.handle(0.01, [listed("a")])
+    assert gateway.born == 78
+
+
+def test_nothing_of_a_document_without_end_of_age_counts():
+    recall = recalled(samples.document(), math.inf, 9000.0)
+    assert recall.useless and recall.server(listed("s-1", started=1000.0).entries[0], 9000.0) is None
+    assert recall.account(7, PLAN, 0, 2, 9000.0) is None
+    fleet = recall.fleet(9000.0, {"look": 0.15})
+    assert (fleet.work, fleet.pace, fleet.slow, fleet.retries) == ((), 0.5, 1.0, 10.0)
+
+
+def test_accounts_that_nobody_asked_for_survive_a_second_restart_also_after_a_reboot():
+    first = samples.document(samples.HEAD, {7: samples.ACCOUNT, 8: samples.ACCOUNT})
+    for boot_id, shift in (("boot-a", 0.0), ("boot-b", -4000.0)):
+        recall = recalled(first, 2.0, 9000.0)
+        gateway = Gateway(settings(), seed=1)
+        gateway.remember(recall)
+        gateway.handle(9000.0, [listed("a"), helpers.request(1, spread=2)])  # customer 7 only
+        collector = Collector(gateway, "n0", "test", recall)
+        clock = Reading(0.0, 5002.0 + shift, boot_id)
+        for _ in collector.steps(lambda: 9000.0, lambda c=clock: c, lambda: 0.0):
+            pass
+        head = collector.head(9000.0, clock, 1.0, False, {})
+        doc = document.decode(b"".join(document.encode(1, head, list(collector.pages()))))[2]
+        again = recalled(doc, 1.0, 9001.0)
+        assert again.age_of(document.read_account(doc.raw_accounts()[8]).at, 9001.0) == pytest.approx(8.0)
+        assert sorted(doc.raw_accounts()) == [7, 8]
+
+
+def test_only_what_moved_is_packed_again_and_what_is_forgotten_goes():
+    gateway = Gateway(settings(), seed=1)
+    gateway.handle(8000.0, [listed("a"), helpers.request(1, customer=7), helpers.request(2, customer=8)])
+    collector = Collector(gateway, "n0", "test")
+    kept(gateway, 8000.1, collector=collector)
+    gateway.handle(8000.2, [helpers.outcome(1, 0, "a"), helpers.outcome(2, 0, "a")])
+    kept(gateway, 8000.3, collector=collector)
+    before = dict(collector.packed)
+    gateway.handle(8000.4, [helpers.request(3, customer=8)])
+    doc = kept(gateway, 8000.5, collector=collector)
+    assert collector.packed[7] is before[7] and collector.packed[8] is not before[8]
+    assert document.read_account(doc.raw_accounts()[8]).open == 1
+    del gateway.accounts[7]
+    assert list(kept(gateway, 8000.6, collector=collector).raw_accounts()) == [8]
+
+
+def test_slices_of_a_ring_stay_one_whole_through_kills_with_knowledge():
+    """Each member in turn is killed and comes back with what it wrote up to a second before."""
+
+    def asked(me):  # a little everywhere, for an account that nobody asks for stays in its bytes
+        return 0.5 if me == 0 else 0.02
+
+    ring = helpers.Ring(plan=t.Plan(rate=6.0, burst=30.0, name="small"))
+    ring.run(6, ask=asked)
+    docs, before = {}, ring.slices()
+    assert max(before.values()) > 0.45  # supply went where the demand is
+    for me in (0, 1, 2, 0):
+        docs[me] = kept(ring.gateways[me], ring.now)
+        ring.run(0.8, ask=asked)  # more trades, unseen by the document
+        del ring.gateways[me]
+        ring.run(0.7)
+        s = helpers.settings(me, 3, plans=(ring.plan,))
+        recall = Recall(docs[me], 1.5, ring.now, s, lambda name: "", Counter())
+        made = ring.gateways[me] = Gateway(s, seed=9)
+        made.remember(recall)
+        ring.take(me, made.handle(ring.now, [helpers.servers("a", "b", "c")]))
+        ring.run(3, ask=asked)
+        assert sum(ring.slices().values()) == pytest.approx(1.0, abs=0.02)
+    assert max(ring.slices().values()) > 0.45
--- /dev/null
+++ b/tests/knowledge/test_store.py
@@ -0,0 +1,338 @@
+"""Every state that a crash may leave, odd files in the place of ours, and disks that fail."""
+
+import errno
+import itertools
+import os
+import pathlib
+
+import msgspec
+import pytest
+
+from corkdeal.knowledge.files import Files, Locked, Unsafe
+from corkdeal.knowledge.store import Store, file_of, folder_of
+
+from . import samples
+
+STRANGER = 54321  # some other user's number
+
+
+def numbered(generation):
+    """A document that tells its generation, of some pieces."""
+    servers = tuple(samples.SERVER._replace(server=f"s-{i}", slow=float(generation)) for i in range(40))
+    return samples.parts(generation, head=msgspec.structs.replace(samples.HEAD, servers=servers))
+
+
+def generation_of(document):
+    (slow,) = {s.slow for s in document.head.servers}
+    return int(slow)
+
+
+class Recording(Files):
+    """Writes as the real one does, and keeps the list of what it did."""
+
+    log = []
+
+    def create(self, name):
+        file = super().create(name)
+        self.log.append(("create", name, file))
+        return file
+
+    def write(self, file, parts):
+        for part in parts:
+            half = len(part) // 2
+            for piece in (part[:half], part[half:]):  # the system may take a write in pieces
+                super().write(file, [piece])
+                self.log.append(("write", file, bytes(piece)))
+
+    def sync(self, file):
+        super().sync(file)
+        self.log.append(("sync", file))
+
+    def finish(self, file):
+        super().finish(file)
+        self.log.append(("finish", file))
+
+    def rename(self, old, new):
+        super().rename(old, new)
+        self.log.append(("rename", old, new))
+
+    def sync_folder(self):
+        super().sync_folder()
+        self.log.append(("sync_folder",))
+
+    def unlink(self, name):
+        super().unlink(name)
+        self.log.append(("unlink", name))
+
+
+def crash_states(log):
+    """All that may be on disk after a crash at each point: (what was reported durable, name -> bytes).
+
+    Content that was not synced is there whole, by half, as zeros or not at all. Changes of names since the
+    folder was last synced are there or not, each for itself, in any combination.
+    """
+    seen = set()
+    for stop in range(len(log) + 1):
+        inodes, synced, names, pending, open_files, durable = {}, {}, {}, [], {}, 0
+        for i, (what, *args) in enumerate(log[:stop]):
+            if what == "create":
+                inodes[i], synced[i], open_files[args[1]] = b"", b"", i
+                pending.append(("link", args[0], i))
+            elif what == "write":
+                inodes[open_files[args[0]]] += args[1]
+            elif what == "sync":
+                synced[open_files[args[0]]] = inodes[open_files[args[0]]]
+            elif what == "rename":
+                pending.append(("move", args[0], args[1], inode_of(names, pending, args[0])))
+            elif what == "unlink":
+                pending.append(("drop", args[0]))
+            elif what == "sync_folder":
+                names, pending = applied(names, pending), []
+            elif what == "durable":
+                durable = args[0]
+        unsynced = [i for i in inodes if inodes[i] != synced[i]]
+        for kept in itertools.product((False, True), repeat=len(pending)):
+            left = applied(names, [p for p, keep in zip(pending, kept, strict=True) if keep])
+            for forms in itertools.product(range(4), repeat=len(unsynced)):
+                content = dict(synced)
+                for i, form in zip(unsynced, forms, strict=True):
+                    whole, safe = inodes[i], len(synced[i])
+                    content[i] = (
+                        whole[:safe],
+                        whole,
+                        whole[: (safe + len(whole)) // 2],
+                        whole[:safe] + bytes(len(whole) - safe),
+                    )[form]
+                state = tuple(sorted((name, content[i]) for name, i in left.items()))
+                if (durable, state) not in seen:
+                    seen.add((durable, state))
+                    yield durable, state
+
+
+def inode_of(names, pending, name):
+    return applied(names, pending)[name]
+
+
+def applied(names, changes):
+    names = dict(names)
+    for what, name, *rest in changes:
+        if what == "link":
+            names[name] = rest[0]
+        elif what == "drop":
+            names.pop(name, None)
+        else:
+            names.pop(name, None)
+            names[rest[0]] = rest[1]
+    return names
+
+
+def test_no_crash_state_loads_a_damaged_file_or_loses_a_durable_generation(tmp_path):
+    Recording.log = []
+    store = Store(str(tmp_path / "recorded"), opener=Recording)
+    for _ in range(4):
+        Recording.log.append(("durable", store.write(numbered)))
+    store.close()
+    states = list(crash_states(Recording.log))
+    assert len(states) > 60
+    newer = 0
+    for number, (durable, state) in enumerate(states):
+        folder = tmp_path / str(number)
+        folder.mkdir(mode=0o700)
+        for name, content in state:
+            (folder / name).write_bytes(content)
+        opened = Store(str(folder))
+        opened.open()
+        loaded = opened.load()
+        if loaded.document is None:
+            assert durable == 0, (number, [n for n, _ in state], loaded.refused)
+        else:  # exactly one generation's content, of one that was written, under its own name
+            found = generation_of(loaded.document)
+            assert found >= durable and loaded.file == file_of(found)
+            newer += found > durable
+        after = opened.write(numbered)  # and whatever was left, the next write is whole
+        assert generation_of(opened.load().document) == after > durable
+        assert not [n for n in os.listdir(folder) if n.endswith(".tmp")]
+        opened.close()
+    assert newer  # some states hold a generation before it was reported
+
+
+def test_without_the_sync_before_the_rename_the_same_states_do_lose_one(tmp_path):
+    """That the enumeration can fail: a store that leaves out one step is caught."""
+    Recording.log = []
+    store = Store(str(tmp_path / "recorded"), opener=Recording)
+    for _ in range(3):
+        Recording.log.append(("durable", store.write(numbered)))
+    store.close()
+    for left_out in ("sync", "sync_folder"):
+        log = [entry for entry in Recording.log if entry[0] != left_out]
+        assert any(
+            durable
+            and not any(
+                name == file_of(durable)
+                and content == b"".join(numbered(durable))
+                or name > file_of(durable)
+                and content == b"".join(numbered(int(name[:16])))
+                for name, content in state
+            )
+            for durable, state in crash_states(log)
+        )
+
+
+def test_two_generations_are_kept_and_a_damaged_one_falls_back(tmp_path):
+    store = Store(str(tmp_path))
+    for _ in range(5):
+        store.write(numbered)
+    assert sorted(os.listdir(tmp_path)) == [file_of(4), file_of(5), "lock"]
+    assert (tmp_path / file_of(5)).stat().st_mode & 0o777 == 0o600
+    store.close()
+    (tmp_path / file_of(5)).write_bytes(b"".join(numbered(5))[:-1])
+    (tmp_path / file_of(6)).write_bytes(b"".join(numbered(5)))  # whole, but not what its name says
+    again = Store(str(tmp_path))
+    again.open()
+    loaded = again.load()
+    assert generation_of(loaded.document) == 4 and [r.file for r in loaded.refused] == [
+        file_of(6),
+        file_of(5),
+    ]
+    assert "checksum" in loaded.refused[1].why and "under the name of 6" in loaded.refused[0].why
+    assert again.write(numbered) == 7
+    again.close()
+
+
+def test_a_newer_format_is_neither_loaded_nor_touched(tmp_path):
+    newer = (samples.DATA / "format-4.know").read_bytes()
+    (tmp_path / file_of(3)).write_bytes(newer)
+    (tmp_path / file_of(2)).write_bytes(b"".join(numbered(2)))
+    store = Store(str(tmp_path))
+    store.open()
+    loaded = store.load()
+    assert generation_of(loaded.document) == 2 and "needs a reader of format 4" in loaded.refused[0].why
+    for _ in range(4):
+        store.write(numbered)
+    store.close()
+    unread = Store(str(tmp_path))  # writes without ever having loaded
+    for _ in range(4):
+        unread.write(numbered)
+    unread.close()
+    assert (tmp_path / file_of(3)).read_bytes() == newer and len(os.listdir(tmp_path)) == 4
+
+
+def put(path, kind):
+    if kind == "symlink":
+        (path.parent / "target").write_bytes(b"".join(numbered(9)))
+        path.symlink_to("target")
+    elif kind == "fifo":
+        os.mkfifo(path)
+    elif kind == "folder":
+        path.mkdir()
+    elif kind == "large":
+        with open(path, "wb") as file:
+            file.truncate(1 << 40)  # a hole
+    else:
+        path.write_bytes(b"".join(numbered(9)))
+        os.chown(path, STRANGER, STRANGER)
+
+
+@pytest.mark.parametrize("kind", ["symlink", "fifo", "folder", "large", "stranger"])
+def test_what_is_no_plain_file_of_ours_is_passed_over_without_waiting(tmp_path, kind):
+    if kind == "stranger" and os.geteuid():
+        pytest.skip("only root can give a file away")
+    (tmp_path / file_of(1)).write_bytes(b"".join(numbered(1)))
+    put(tmp_path / file_of(9), kind)
+    store = Store(str(tmp_path))
+    store.open()
+    loaded = store.load()
+    assert generation_of(loaded.document) == 1 and loaded.refused[0].file == file_of(9)
+    assert store.write(numbered) == 10
+    store.close()
+    if kind in ("symlink", "fifo", "folder"):  # nor in the lock's place, nor in the folder's
+        (tmp_path / "lock").unlink()
+        put(tmp_path / "lock", kind)
+        with pytest.raises(OSError):
+            Store(str(tmp_path)).open()
+        put(tmp_path / "instead", kind)
+        if kind != "folder":
+            with pytest.raises(OSError):
+                Store(str(tmp_path / "instead")).open()
+
+
+def test_a_folder_that_others_may_write_is_refused(tmp_path):
+    os.chmod(tmp_path, 0o777)
+    with pytest.raises(Unsafe):
+        Store(str(tmp_path)).open()
+
+
+def test_a_second_process_of_one_name_goes_without_until_the_first_is_gone(tmp_path):
+    one, other = Store(str(tmp_path)), Store(str(tmp_path))
+    one.write(numbered)
+    with pytest.raises(Locked):
+        other.open()
+    with pytest.raises(Locked):
+        other.write(numbered)
+    one.close()
+    assert other.write(numbered) == 2
+    other.close()
+
+
+@pytest.mark.parametrize("name", ["n0", "../../etc", ".", "", "a/b", "halle-ä"])
+def test_a_name_never_leads_out_of_the_path(name):
+    folder = pathlib.PurePath(folder_of("/var/lib/corkdeal", name))
+    assert folder.parent == pathlib.PurePath("/var/lib/corkdeal") and folder.name not in (".", "..")
+
+
+class Failing(Files):
+    """Fails one kind of step while `failing` names it."""
+
+    failing = ""
+    number = errno.ENOSPC
+
+    def fail(self, what):
+        if what == Failing.failing:
+            raise OSError(self.number, os.strerror(self.number))
+
+    def create(self, name):
+        self.fail("create")
+        return super().create(name)
+
+    def write(self, file, parts):
+        parts = list(parts)
+        super().write(file, parts[:1])
+        self.fail("write")
+        super().write(file, parts[1:])
+
+    def sync(self, file):
+        self.fail("sync")
+        super().sync(file)
+
+    def rename(self, old, new):
+        self.fail("rename")
+        super().rename(old, new)
+
+    def sync_folder(self):
+        self.fail("sync_folder")
+        super().sync_folder()
+
+
+@pytest.mark.parametrize("step", ["create", "write", "sync", "rename", "sync_folder"])
+def test_a_disk_that_fails_costs_that_write_only_and_heals(tmp_path, step):
+    store = Store(str(tmp_path), opener=Failing)
+    assert store.write(numbered) == 1
+    for number in (errno.ENOSPC, errno.EROFS, errno.EIO):
+        Failing.failing, Failing.number = step, number
+        for _ in range(3):
+            with pytest.raises(OSError):
+                store.write(numbered)
+        Failing.failing = ""
+        assert not [n for n in os.listdir(tmp_path) if n.endswith(".tmp")]
+        assert generation_of(store.load().document) >= 1
+    after = store.write(numbered)
+    assert generation_of(store.load().document) == after
+    store.close()
+
+
+def test_a_folder_that_vanished_is_made_anew(tmp_path):
+    store = Store(str(tmp_path / "here"))
+    store.write(numbered)
+    os.rename(tmp_path / "here", tmp_path / "away")
+    assert store.write(numbered) == 2 and os.listdir(tmp_path / "away").count(file_of(2)) == 0
+    store.close()
--- a/tests/net_world.py
+++ b/tests/net_world.py
@@ -245,7 +245,7 @@
         self.peer.settimeout(PATIENCE)
         self.addCleanup(self.peer.close)
 
-    def start(self, known=None, **backends):
+    def start(self, known=None, options=None, **backends):
         for name, more in backends.items():
             self.world.add(name, **more)
         self.udp = free(socket.SOCK_DGRAM)
@@ -262,16 +262,25 @@
         }
         path = self.path = pathlib.Path(self.folder.name, "config.json")
         path.write_text(json.dumps(self.config))
+        self.env = {"RELAY_CONFIG": str(path)}
+        if options is not None:
+            self.options = pathlib.Path(self.folder.name, "options.kdl")
+            self.options.write_text(options)
+            self.env["CORKDEAL_OPTIONS"] = str(self.options)
+        self.run_program()
+        self.addCleanup(self.stop)
+        self.line("serving ")
+
+    def run_program(self):
+        """Start it, or start it again."""
         self.process = subprocess.Popen(
             [sys.executable, *self.build, "-m", "corkdeal.net"],
             cwd=ROOT,
-            env={"RELAY_CONFIG": str(path)},
+            env=self.env,
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
             text=True,
         )
-        self.addCleanup(self.stop)
-        self.line("serving ")
 
     def stop(self):
         self.process.kill()
--- /dev/null
+++ b/tests/test_layout.py
@@ -0,0 +1,79 @@
+"""Which package may import which, read from the syntax tree; and what the ordinary path does not import."""
+
+import ast
+import pathlib
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).parents[1]
+DECIDING = {"brain", "plumbing", "state", "peers", "memory", "interface"}
+PURE = {
+    "interface": set(),
+    "state": {"interface", "peers"},
+    "peers": {"interface"},
+    "memory": {"interface", "state"},
+    "plumbing": {"interface", "memory", "peers", "state"},
+    "brain": DECIDING - {"brain"},
+}
+MAY = {  # package or module -> those it may import
+    **PURE,
+    "wire": {"interface"},
+    "drill": {"wire", "brain"},
+    "logs": set(),
+    "options": set(),
+    "knowledge": DECIDING | {"logs", "options"},
+    "standin": DECIDING | {"wire", "options", "logs", "net"},
+    "net": DECIDING | {"wire", "logs", "options", "knowledge"},
+    "experiment": DECIDING | {"wire", "options", "knowledge", "standin", "net", "logs"},
+    "cli": {"options", "knowledge", "net", "experiment", "standin", "logs"},
+    "__main__": {"cli"},
+    "__init__": {"brain"},
+}
+KNOWLEDGE_PURE = {"clock", "ageing", "recall", "collect", "merge", "migrate", "document", "envelope"}
+DOING = {"os", "socket", "threading", "subprocess", "queue", "fcntl", "twisted", "asyncio"}  # what does I/O
+
+
+def imports(path):
+    """Absolute names of all that a file imports, and whether that is at its top level."""
+    package = path.relative_to(ROOT).with_suffix("").parts
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            base = (
+                [*package[: len(package) - node.level], *(node.module or "").split(".")]
+                if node.level
+                else [node.module]
+            )
+            base = [b for b in base if b]
+            yield ".".join(base)
+            yield from (".".join([*base, alias.name]) for alias in node.names)
+
+
+def test_imports_go_down_only():
+    wrong = []
+    for path in sorted((ROOT / "corkdeal").rglob("*.py")):
+        home = path.relative_to(ROOT / "corkdeal").parts[0].removesuffix(".py")
+        for name in imports(path):
+            parts = name.split(".")
+            inner = len(parts) > 1 and parts[0] == "corkdeal" and parts[1]
+            if inner and inner not in MAY[home] | {home, "__version__", "Gateway"}:
+                wrong.append(f"{path.relative_to(ROOT)} imports {name}")
+            pure = home in PURE or home == "knowledge" and path.stem in KNOWLEDGE_PURE
+            if pure and parts[0] in DOING:
+                wrong.append(f"{path.relative_to(ROOT)} decides and imports {name}")
+    assert not wrong
+
+
+def test_what_is_off_is_not_imported():
+    code = (
+        "import os, sys; os.environ['RELAY_CONFIG'] = 'examples/config.json'\n"
+        "from twisted.internet import reactor; reactor.run = lambda **_: None\n"
+        "from corkdeal.net.__main__ import main; main()\n"
+        "from twisted.internet import reactor\n"
+        "bad = {'structlog', 'msgspec', 'zstandard', 'blake3', 'kdl', 'click', 'numpy'} & set(sys.modules)\n"
+        "sys.exit(', '.join(bad | {m for m in sys.modules if m.startswith(('corkdeal.knowledge', "
+        "'corkdeal.options', 'corkdeal.cli'))}) or 0)"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT)
+    assert done.returncode == 0, done.stderr
--- /dev/null
+++ b/tests/test_options.py
@@ -0,0 +1,75 @@
+"""The operators' file: what it may say, and what is told of a fault."""
+
+import pathlib
+
+import pytest
+
+from corkdeal import options
+
+ROOT = pathlib.Path(__file__).parents[1]
+
+
+def test_the_example_is_good_and_nothing_is_on_without_a_file():
+    made = options.load(str(ROOT / "deploy" / "corkdeal.kdl"))
+    assert (
+        made.log.format == "json"
+        and made.knowledge.path == "/var/lib/corkdeal"
+        and made.knowledge.every == 1.0
+    )
+    assert options.parse("") == options.Options() and options.parse("// nothing").knowledge is None
+
+
+def test_settings_are_properties_or_children_and_have_defaults():
+    one = options.parse('knowledge path="/x" every=2 { generations 3; }')
+    other = options.parse('knowledge {\n  path "/x"\n  every 2.0\n  generations 3\n  /-read-wait 99\n}')
+    assert one == other and one.knowledge.read_wait == 0.5 and type(one.knowledge.every) is float
+
+
+@pytest.mark.parametrize(
+    ("text", "line", "column", "node", "said"),
+    [
+        ('log {\n  format "xml"\n}', 2, 10, "log.format", "must be one of text, json"),
+        ("\n  bogus 1", 2, 3, "bogus", "unknown node; known are knowledge, log"),
+        ("log colour=true", 1, 12, "log.colour", "unknown setting"),
+        ('log level="info" level=3', 1, 24, "log.level", "must be text"),
+        ('log "json"', 1, 5, "log", "takes settings by name only"),
+        ("log\nlog", 2, 1, "log", "second time"),
+        ('log format="json" {\n format "text"\n}', 2, 2, "log.format", "second time"),
+        ('log {\n format "json" "text"\n}', 2, 2, "log.format", "exactly one value"),
+        ("knowledge", 1, 1, "knowledge.path", "must be given"),
+        ('knowledge path="here"', 1, 16, "knowledge.path", "absolute"),
+        ('knowledge path="/x" every=0.05', 1, 27, "knowledge.every", "between 0.1 and 60"),
+        ('knowledge path="/x" every=true', 1, 27, "knowledge.every", "a number, not True"),
+        ('knowledge path="/x" generations=2.5', 1, 33, "knowledge.generations", "a whole number"),
+        ('knowledge path="/x" read_wait=1', 1, 31, "knowledge.read_wait", "unknown setting"),
+        ('knowledge path="/x" {', 1, 21, "", "Hit EOF"),
+        ("log format=", 1, 12, "", "Expected value"),
+        ("a {\n" * 3000, 0, 0, "", "too deeply"),
+    ],
+)
+def test_a_fault_is_told_with_its_place(text, line, column, node, said):
+    with pytest.raises(options.OptionsError) as caught:
+        options.parse(text)
+    fault = caught.value.faults[0]
+    assert (fault.line, fault.column, fault.node) == (line, column, node) and said in fault.text
+
+
+def test_all_faults_are_told_at_once_in_order():
+    with pytest.raises(options.OptionsError) as caught:
+        options.parse("x\nlog level=1\nknowledge {\n every 99\n}")
+    assert [f.line for f in caught.value.faults] == [1, 2, 3, 4]
+
+
+@pytest.mark.parametrize(
+    ("data", "said"),
+    [(b'log level="\xff"', "line 1, column 12: is not UTF-8"), (b"//" + b"x" * (1 << 20), "larger than")],
+)
+def test_a_file_that_is_no_text_is_refused(tmp_path, data, said):
+    path = tmp_path / "o.kdl"
+    path.write_bytes(data)
+    with pytest.raises(options.OptionsError, match=said):
+        options.load(str(path))
+    with pytest.raises(options.OptionsError, match="no regular file"):
+        options.load(str(tmp_path))
+    with pytest.raises(options.OptionsError, match="No such file"):
+        options.load(str(tmp_path / "none"))
