--- /dev/null
+++ b/corkdeal/cli/experiment.py
@@ -0,0 +1,74 @@
+"""`corkdeal experiment`: long runs on stand-ins, on loopback only."""
+
+from __future__ import annotations
+
+import json
+import os
+
+import click
+
+
+@click.group("experiment")
+def command() -> None:
+    """Run experiments on stand-ins. They take minutes and want the cores to themselves."""
+
+
+@command.command("restarts")
+@click.option("--seeds", type=click.IntRange(1, 100), default=10, show_default=True)
+@click.option(
+    "--together", type=click.IntRange(1, 16), default=3, show_default=True, help="Runs at the same time."
+)
+@click.option(
+    "--every", type=click.FloatRange(0.1, 60), default=1.0, show_default=True, help="Seconds between writes."
+)
+@click.option("--load", type=click.Choice(["usual", "high"]), default="usual", show_default=True)
+@click.option(
+    "--out", type=click.Path(file_okay=False), required=True, help="Folder for runs, table and chart."
+)
+def restarts(seeds: int, together: int, every: float, load: str, out: str) -> None:
+    """What restarts cost with and without knowledge; needs requirements-experiment.txt."""
+    from ..experiment import restarts as experiment
+    from ..experiment import summary
+
+    runs = experiment.play_all(list(range(1, seeds + 1)), list(experiment.ARMS), every, load, together)
+    os.makedirs(out, exist_ok=True)
+    with open(os.path.join(out, f"restarts-{load}.json"), "w", encoding="utf-8") as file:
+        json.dump(runs, file, separators=(",", ":"))
+    rows = summary.restart_rows(runs)
+    summary.chart(
+        rows, os.path.join(out, f"restarts-{load}.svg"), f"Loss after a restart, {load} load, {seeds} seeds"
+    )
+    click.echo(summary.markdown(rows))
+
+
+@command.command("kills")
+@click.option("--kills", type=click.IntRange(1, 10_000), default=300, show_default=True)
+@click.option(
+    "--together", type=click.IntRange(2, 8), default=4, show_default=True, help="Gateways of the tier."
+)
+@click.option("--seed", type=int, default=1, show_default=True)
+def kills(kills: int, together: int, seed: int) -> None:
+    """Kill gateways at random moments under load; look at what each death left; stop at the first fault."""
+    import asyncio
+
+    from ..experiment import kills as experiment
+
+    click.echo(json.dumps(asyncio.run(experiment.play(kills, together, seed))))
+
+
+@command.command("cuts")
+@click.option("--days", type=click.IntRange(1, 10_000), default=100, show_default=True)
+@click.option(
+    "--rate",
+    type=click.FloatRange(1, 1000),
+    default=30.0,
+    show_default=True,
+    help="Attempts a second of one gateway.",
+)
+def cuts(days: int, rate: float) -> None:
+    """How often a hall is wrongly declared lost, and how soon rightly; in virtual time."""
+    from ..experiment import cuts as experiment
+
+    alarms = experiment.false_alarms(days, 60.0, rate)
+    delays = [experiment.delays(days, rate, kind) for kind in experiment.TROUBLES]
+    click.echo(json.dumps({"false_alarms": alarms, "delays": delays}, indent=1))
--- /dev/null
+++ b/corkdeal/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on stand-ins: runs, tables and charts. Long runs; results lie under docs/reports."""
--- /dev/null
+++ b/corkdeal/experiment/summary.py
@@ -0,0 +1,115 @@
+"""Tables and charts of an experiment's runs: paired differences by seed, with their intervals."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from typing import Any
+
+T95 = {1: 12.71, 2: 4.30, 3: 3.18, 4: 2.78, 5: 2.57, 6: 2.45, 7: 2.36, 8: 2.31, 9: 2.26, 14: 2.14, 19: 2.09}
+
+
+def mean_and_half(values: Iterable[float]) -> tuple[float, float]:
+    """Mean and half of the 95% interval of Student's t; the interval is endless for one value."""
+    import numpy as np
+
+    v = np.asarray(list(values), dtype=float)
+    if len(v) < 2:
+        return float(v.mean()) if len(v) else math.nan, math.inf
+    free = len(v) - 1
+    times = T95.get(free) or T95[max(k for k in T95 if k <= free)]
+    return float(v.mean()), float(times * v.std(ddof=1) / math.sqrt(len(v)))
+
+
+def by_seed(runs: list[dict[str, Any]]) -> dict[int, dict[str, dict[str, Any]]]:
+    """Runs by seed and arm."""
+    made: dict[int, dict[str, dict[str, Any]]] = {}
+    for run in runs:
+        made.setdefault(run["seed"], {})[run["arm"]] = run
+    return made
+
+
+def restart_rows(runs: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """For each window length: what the arms lose against calm, and how much of that knowledge saves."""
+    rows = []
+    for length in sorted({w["length"] for run in runs for w in run["windows"]}):
+        for what, key, asked in (
+            ("worth served in time, all gateways", "served", "asked"),
+            ("worth served in time, there", "served_there", "asked_there"),
+            ("units let in beyond quotas", "beyond", ""),
+            ("attempts sent to slow servers, there", "to_slow", ""),
+        ):
+            lost: dict[str, list[float]] = {"forgets": [], "knows": []}
+            for arms in by_seed(runs).values():
+                if not {"calm", *lost} <= arms.keys():
+                    continue
+                pick = {
+                    arm: [w for w in run["windows"] if w["length"] == length] for arm, run in arms.items()
+                }
+                for arm, into in lost.items():
+                    parts = []
+                    for w, calm in zip(pick[arm], pick["calm"], strict=True):
+                        more = calm[key] - w[key]
+                        parts.append(100 * more / calm[asked] if asked else -more)
+                    into.append(sum(parts) / len(parts))
+            pairs = [a - b for a, b in zip(lost["forgets"], lost["knows"], strict=True)]
+            forgets, knows, saved = (mean_and_half(v) for v in (lost["forgets"], lost["knows"], pairs))
+            rows.append(
+                {
+                    "window_s": length,
+                    "what": what,
+                    "unit": "% of asked" if asked else "units",
+                    "forgets": forgets,
+                    "knows": knows,
+                    "saved": saved,
+                    "saved_share": saved[0] / forgets[0] if forgets[0] else math.nan,
+                }
+            )
+    return rows
+
+
+def markdown(rows: list[dict[str, Any]]) -> str:
+    """Rows as a table for a page."""
+    lines = [
+        "| window | what is lost or let in more than calm | forgets | knows | saved | share |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
+    for r in rows:
+        cells = [f"{m:.2f} ± {h:.2f}" for m, h in (r["forgets"], r["knows"], r["saved"])]
+        lines.append(
+            f"| {r['window_s']:.0f} s | {r['what']}, {r['unit']} | {' | '.join(cells)} "
+            f"| {100 * r['saved_share']:.0f}% |"
+        )
+    return "\n".join(lines)
+
+
+def chart(rows: list[dict[str, Any]], path: str, title: str) -> None:
+    """Bars with intervals, as SVG or PNG by the path's ending."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    matplotlib.rcParams["svg.hashsalt"] = "corkdeal"
+    from matplotlib import pyplot
+
+    kinds = list(dict.fromkeys(r["what"] for r in rows))
+    figure, axes = pyplot.subplots(1, len(kinds), figsize=(4 * len(kinds), 3.4))
+    for axis, what in zip(axes, kinds, strict=True):
+        mine = [r for r in rows if r["what"] == what]
+        for offset, arm in ((-0.2, "forgets"), (0.2, "knows")):
+            axis.bar(
+                [i + offset for i in range(len(mine))],
+                [r[arm][0] for r in mine],
+                0.4,
+                yerr=[r[arm][1] for r in mine],
+                capsize=3,
+                label=arm,
+            )
+        axis.set_xticks(range(len(mine)), [f"{r['window_s']:.0f} s" for r in mine])
+        axis.set_title(what, fontsize=9)
+        axis.set_ylabel(mine[0]["unit"])
+        axis.axhline(0, color="black", linewidth=0.5)
+    axes[0].legend(fontsize=8)
+    figure.suptitle(title, fontsize=10)
+    figure.tight_layout()
+    figure.savefig(path, metadata={"Date": None} if path.endswith("svg") else None)
+    pyplot.close(figure)
--- /dev/null
+++ b/corkdeal/standin/fleet.py
@@ -0,0 +1,176 @@
+"""Real gateways as processes of their own, started, killed and restarted on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+import time
+from typing import Any
+
+READY_EVERY = 0.02  # s between looks whether a gateway answers PING
+READY_MOST = 20.0  # s
+
+HALLS = ("north-hall", "east-hall", "south-hall")
+CLASSES = [
+    {"name": "board-load", "aim_us": 1_500_000, "deadline_us": 4_000_000, "semantics": "pure", "points": 1},
+    {
+        "name": "solve-record",
+        "aim_us": 2_000_000,
+        "deadline_us": 5_000_000,
+        "semantics": "token",
+        "points": 3,
+        "group": "cell",
+        "window_us": 10_000_000,
+        "late_share": 0.2,
+    },
+]
+
+
+def settings(
+    gateways: int, me: int, plans: list[dict[str, Any]], fall_multiple: float = 4.0
+) -> dict[str, Any]:
+    """Settings as the platform gives them, for one gateway of a tier."""
+    return {
+        "balancers": gateways,
+        "me": me,
+        "failure_domains": list(HALLS),
+        "host_types": ["standard", "slower"],
+        "zone": me % len(HALLS),
+        "membership_mode": "pushed",
+        "granularity_us": 4000,
+        "classes": CLASSES,
+        "tiers_of_service": plans,
+        "client_habits": {"marks_retry": True},
+        "family_info": {"peer_intake": 60},
+        "policy_limits": {
+            "max_attempts": 4,
+            "cancel": True,
+            "peers": True,
+            "retry_after": True,
+            "may_probe": True,
+            "max_retry_after_us": 500_000,
+            "connect_timeout_us": 250_000,
+            "conn_idle_us": 30_000_000,
+        },
+        "rules": {
+            "drain_grace_us": 250_000,
+            "answer_slack_us": 16_000,
+            "fall_multiple": fall_multiple,
+            "fall_us": 1_000_000,
+            "cold_share": 0.25,
+            "warm_within_us": 16_000_000,
+        },
+        "telemetry": {"how": "answers", "columns": ["recent_ms", "throughput"]},
+    }
+
+
+def free(kind: int = socket.SOCK_STREAM) -> str:
+    """A free loopback address."""
+    with socket.socket(socket.AF_INET, kind) as s:
+        s.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{s.getsockname()[1]}"
+
+
+class Gateway:
+    """One gateway's process under one name."""
+
+    def __init__(
+        self,
+        number: int,
+        config: dict[str, Any],
+        folder: pathlib.Path,
+        options: str = "",
+        program: pathlib.Path | None = None,
+    ) -> None:
+        """`options` is the operators' file, `program` another checkout whose program to run."""
+        self.number, self.config, self.folder, self.program = number, config, folder, program
+        self.listen: str = config["listen"]
+        self.path = folder / f"{config['name']}.json"
+        self.log = folder / f"{config['name']}.log"
+        self.env = {**os.environ, "RELAY_CONFIG": str(self.path)}
+        self.env.pop("CORKDEAL_OPTIONS", None)
+        if options:
+            (folder / f"{config['name']}.kdl").write_text(options)
+            self.env["CORKDEAL_OPTIONS"] = str(folder / f"{config['name']}.kdl")
+        self.process: asyncio.subprocess.Process | None = None
+        self.ready_at = 0.0  # monotonic time since which it answers
+        self.up = False
+
+    async def start(self, known: dict[str, Any] | None = None) -> float:
+        """Start it; returns the seconds until it answered PING."""
+        self.path.write_text(json.dumps({**self.config, "known": known, "seed": os.urandom(8).hex()}))
+        began = time.monotonic()
+        with open(self.log, "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-O",
+                "-m",
+                "corkdeal.net",
+                env=self.env,
+                stdout=log,
+                stderr=log,
+                cwd=self.program or pathlib.Path(__file__).parents[2],
+            )
+        while not await self.answers():
+            if time.monotonic() - began > READY_MOST:
+                raise RuntimeError(f"{self.config['name']} does not answer; see {self.log}")
+            await asyncio.sleep(READY_EVERY)
+        self.ready_at, self.up = time.monotonic(), True
+        return self.ready_at - began
+
+    async def answers(self) -> bool:
+        """Whether it answers PING."""
+        host, port = self.listen.split(":")
+        try:
+            reader, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            return False
+        try:
+            writer.write(b"*1\r\n$4\r\nPING\r\n")
+            return await reader.readline() == b"+PONG\r\n"
+        except OSError:
+            return False
+        finally:
+            writer.close()
+
+    async def end(self, how: signal.Signals = signal.SIGKILL) -> None:
+        """End it, by a kill or as planned."""
+        self.up = False
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(how)
+            await self.process.wait()
+
+
+def tier(
+    count: int,
+    discovery_port: int,
+    folder: pathlib.Path,
+    plans: list[dict[str, Any]],
+    options: str = "",
+    program: pathlib.Path | None = None,
+) -> list[Gateway]:
+    """All gateways of a tier, not yet started."""
+    peers = [free(socket.SOCK_DGRAM) for _ in range(count)]
+    return [
+        Gateway(
+            i,
+            {
+                "name": f"n{i}",
+                "listen": free(),
+                "discovery": f"127.0.0.1:{discovery_port}",
+                "peer_listen": peers[i],
+                "peers": peers,
+                "limits": {"sockets": 1024},
+                "settings": settings(count, i, plans),
+            },
+            folder,
+            options,
+            program,
+        )
+        for i in range(count)
+    ]
--- /dev/null
+++ b/corkdeal/standin/servers.py
@@ -0,0 +1,232 @@
+"""Stand-in servers: cores, a queue, a cold start, falling over; slow, dead or cut off on command.
+
+A model on real sockets, after the brief: `cores` requests in work at once, each for its drawn work divided by
+the server's speed; the rest wait in order up to a limit, past which `-BUSY` is the answer. A server that has
+just started has `cold_from` of its capacity and warms evenly over `cold_s`. Sent more than `fall_multiple`
+times what it can do at that moment within `fall_s`, it falls over and stays down; `fallen` says so.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+READ_AT_ONCE = 65536
+
+
+class Reader:
+    """Commands of one connection; a plain reader, for what arrives here was written by our own gateway."""
+
+    def __init__(self, stream: asyncio.StreamReader) -> None:
+        self.stream = stream
+
+    async def line(self, kind: bytes) -> int:
+        """A head of that kind, and its figure."""
+        head = await self.stream.readuntil(b"\r\n")
+        if head[:1] != kind:
+            raise ValueError(f"expected {kind!r}, not {head[:20]!r}")
+        return int(head[1:-2])
+
+    async def command(self) -> list[bytes]:
+        """The next command's words."""
+        words = []
+        for _ in range(await self.line(b"*")):
+            size = await self.line(b"$")
+            words.append((await self.stream.readexactly(size + 2))[:-2])
+        return words
+
+
+@dataclass(slots=True)
+class Arrival:
+    """One command that a server began to hold: for the experiment's books."""
+
+    at: float
+    server: str
+    customer: int
+    request: int
+    gateway: str
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A request in a server's queue."""
+
+    work: float
+    start: asyncio.Future[None]
+    gone: bool = False
+
+
+@dataclass(slots=True)
+class Model:
+    """What a server is like."""
+
+    name: str
+    hall: str
+    cell: int = 0
+    cores: int = 3
+    speed: float = 1.0
+    queue: int = 60
+    cold_from: float = 0.25
+    cold_s: float = 16.0
+    fall_multiple: float = 4.0
+    fall_s: float = 1.0
+    figure: str = "standard"
+
+
+@dataclass(eq=False)
+class Server:
+    """One stand-in server."""
+
+    model: Model
+    work_of: Callable[[], float]  # draws the work of one request, in s of a core of speed 1
+    seen: Callable[[Arrival], None]
+    slow: float = 1.0  # times slower than its model
+    up_since: float = 0.0  # wall time, 0 for long ago
+    cut: bool = False  # nothing gets in or out; connections stay open and silent
+    fallen: bool = False
+    port: int = 0
+    busy: int = 0
+    waiting: deque[Waiting] = field(default_factory=deque)
+    recent: deque[tuple[float, float]] = field(default_factory=deque)  # (when, work) sent within fall_s
+    latency: float = 0.2
+    answered: deque[float] = field(default_factory=deque)
+    open: set[asyncio.StreamWriter] = field(default_factory=set)
+    listener: Any = None
+    restored: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def start(self, port: int = 0, host: str = "127.0.0.1") -> None:
+        """Listen; a start after an earlier one is a new process, and cold."""
+        self.listener = await asyncio.start_server(self.serve, host, port)
+        self.port = self.listener.sockets[0].getsockname()[1]
+
+    def entry(self, phase: str = "Ready") -> dict[str, Any]:
+        """Its line in discovery's list."""
+        return {
+            "id": self.model.name,
+            "host_port": f"127.0.0.1:{self.port}",
+            "locality": self.model.hall,
+            "flavor": self.model.figure,
+            "cell": self.model.cell,
+            "phase": phase,
+            "size": 1.0,
+            "up_since_ms": int(self.up_since * 1000),
+        }
+
+    def warmth(self) -> float:
+        """The share of its capacity that it has by now."""
+        if not self.up_since:
+            return 1.0
+        age = max(0.0, time.time() - self.up_since) / self.model.cold_s
+        return min(1.0, self.model.cold_from + (1 - self.model.cold_from) * age)
+
+    def capacity(self) -> float:
+        """Seconds of work a second that it can do now."""
+        return self.model.cores * self.model.speed * self.warmth() / self.slow
+
+    def weigh(self, work: float) -> None:
+        """Book what is sent to it; a cold one that is sent too much falls over."""
+        now = time.monotonic()
+        self.recent.append((now, work))
+        while self.recent and self.recent[0][0] < now - self.model.fall_s:
+            self.recent.popleft()
+        most = self.model.fall_multiple * self.capacity() * self.model.fall_s
+        if self.warmth() < 1 and sum(w for _, w in self.recent) > most:
+            self.fallen = True
+            self.die()
+
+    def die(self) -> None:
+        """Its process ends: connections are reset, new ones refused."""
+        if self.listener is not None:
+            self.listener.close()
+        for writer in list(self.open):
+            writer.transport.abort()
+        self.waiting.clear()
+        self.busy = 0
+
+    def cut_off(self) -> None:
+        """Say and hear nothing from now on."""
+        self.cut = True
+        self.restored.clear()
+        for writer in self.open:
+            with contextlib.suppress(RuntimeError):
+                writer.transport.pause_reading()  # type: ignore[attr-defined]
+
+    def restore(self, reset: bool = False) -> None:
+        """Be reachable again; open connections go on, or are reset."""
+        self.cut = False
+        self.restored.set()
+        for writer in list(self.open):
+            if reset:
+                writer.transport.abort()
+            else:
+                with contextlib.suppress(RuntimeError):
+                    writer.transport.resume_reading()  # type: ignore[attr-defined]
+
+    async def serve(self, stream: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """One connection, one command at a time."""
+        self.open.add(writer)
+        reader = Reader(stream)
+        try:
+            if self.cut:
+                writer.transport.pause_reading()  # type: ignore[attr-defined]
+                await self.restored.wait()
+            while True:
+                words = await reader.command()
+                reply = await self.answer(words)
+                if self.cut:
+                    await self.restored.wait()
+                writer.write(reply)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, ValueError, asyncio.CancelledError):
+            pass
+        finally:
+            self.open.discard(writer)
+            writer.transport.abort()
+
+    async def answer(self, words: list[bytes]) -> bytes:
+        """Serve one command."""
+        if words[0].upper() == b"PING":
+            return b"+PONG\r\n"
+        if words[0].upper() not in (b"API.READ", b"API.WRITE"):
+            return b"-ERR unknown command\r\n"
+        work = self.work_of()
+        self.seen(Arrival(time.time(), self.model.name, int(words[1], 16), int(words[2], 16), ""))
+        self.weigh(work)
+        if self.fallen or len(self.waiting) >= self.model.queue:
+            return b"-BUSY\r\n"
+        began = time.monotonic()
+        if self.busy >= self.model.cores:
+            mine = Waiting(work, asyncio.get_running_loop().create_future())
+            self.waiting.append(mine)
+            await mine.start
+        self.busy += 1
+        try:
+            started = time.monotonic()
+            await asyncio.sleep(work * self.slow / (self.model.speed * self.warmth()))
+        finally:
+            self.busy -= 1
+            while self.waiting and self.busy < self.model.cores:
+                nextone = self.waiting.popleft()
+                if not nextone.start.done():
+                    nextone.start.set_result(None)
+                    break
+        now = time.monotonic()
+        self.latency += 0.1 * (now - started - self.latency)
+        self.answered.append(now)
+        while self.answered and self.answered[0] < now - 1:
+            self.answered.popleft()
+        load = b"latency_ms=%d,qps=%d" % (self.latency * 1000, len(self.answered))
+        value = b"done %b after %d ms" % (words[2], (now - began) * 1000)
+        return b"*3\r\n$%d\r\n%b\r\n$-1\r\n$%d\r\n%b\r\n" % (len(value), value, len(load), load)
+
+
+def work_drawer(chance: random.Random, mean: float, cv: float) -> Callable[[], float]:
+    """Work from a gamma law of that mean and coefficient of variation, as the brief's classes have it."""
+    shape = 1 / cv**2
+    return lambda: max(0.005, chance.gammavariate(shape, mean / shape))
