--- /dev/null
+++ b/benchmarks/knowledge.py
@@ -0,0 +1,193 @@
+"""What keeping knowledge costs, by number of accounts: turns of the reactor, processor, bytes, and the start.
+
+Weighs the two forms that the design note names: whole snapshots, as the store writes them, and an append log
+of what changed with a snapshot now and then. Figures of one run belong together; compare ratios, not
+machines.
+
+    python benchmarks/knowledge.py OUT_FOLDER
+"""
+
+from __future__ import annotations
+
+import gc
+import json
+import os
+import pathlib
+import sys
+import tempfile
+import time
+
+from blake3 import blake3
+
+from corkdeal import interface as t
+from corkdeal.brain import Gateway
+from corkdeal.knowledge import clock
+from corkdeal.knowledge.collect import Collector
+from corkdeal.knowledge.document import decode, encode
+from corkdeal.knowledge.recall import Recall
+from corkdeal.knowledge.store import Store
+
+SIZES = (1_000, 10_000, 100_000)
+# accounts that move between two writes: requests a second of one gateway
+SERVERS, CHANGED, WRITES = 20, 140, 8
+PLAN = t.Plan(rate=1.5, burst=6.0, name="family")
+SETTINGS = t.Settings(
+    me=0,
+    gateways=3,
+    classes=(t.RequestClass(1.5, 4.0, name="board-load"),),
+    plans=(PLAN,),
+    may_tell_peers=True,
+    max_attempts=4,
+)
+
+
+def gateway_with(accounts: int) -> Gateway:
+    """A gateway that holds so many lively accounts."""
+    gateway = Gateway(SETTINGS, 1)
+    gateway.handle(
+        1000.0,
+        [
+            t.ServerList(
+                t.ListKind.FULL,
+                tuple(t.ServerEntry(f"s-{i:08x}", t.ServerState.READY) for i in range(SERVERS)),
+            )
+        ],
+    )
+    for customer in range(accounts):
+        a = gateway.account(customer * 7919, 0, customer % 3, 3)
+        a.level, a.demand = customer % 50 / 10, customer % 7 / 5
+    return gateway
+
+
+def turns_of(steps) -> tuple[float, float, list]:
+    """Longest and summed time of the steps of a generator, and what it gave."""
+    longest, summed, made = 0.0, 0.0, []
+    while True:
+        began = time.perf_counter()
+        try:
+            made.append(next(steps))
+        except StopIteration:
+            took = time.perf_counter() - began
+            return max(longest, took), summed + took, made
+        took = time.perf_counter() - began
+        longest, summed = max(longest, took), summed + took
+
+
+def measure(accounts: int, folder: str) -> dict[str, float]:
+    """Both forms at one size, in ms and bytes."""
+    gateway, now = gateway_with(accounts), 1000.0
+    collector, store = Collector(gateway, "n0", "bench"), Store(folder)
+    keys, rows, size = list(gateway.accounts), [], 0
+    gc.collect()
+    log = os.open(os.path.join(folder, "log"), os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+    logged, log_cpu, log_wall = 0, 0.0, 0.0
+    for turn in range(WRITES + 1):
+        now += 1.0
+        for key in keys[turn * CHANGED % len(keys) :][:CHANGED]:
+            gateway.account(key, 0, 0, 3).asked_at = now
+        gateway.now = now
+        cpu = time.process_time()
+        longest, _, _ = turns_of(collector.steps(lambda n=now: n, clock.read_clocks, time.perf_counter))
+        paging, _, pages = turns_of(collector.pages())
+        began = time.perf_counter()
+        head = collector.head(now, clock.read_clocks(), 1.0, False, {})
+        heading = time.perf_counter() - began
+        collected = time.process_time() - cpu
+        began = time.perf_counter()
+        parts = encode(turn + 1, head, pages)
+        encoded = time.perf_counter() - began
+        store.write(lambda _, parts=parts: parts)
+        wall = time.perf_counter() - began
+        cpu, size = time.process_time() - cpu, sum(map(len, parts))
+        if turn:  # the first packs everything once
+            rows.append((max(longest, paging, heading), collected, encoded, wall, cpu))
+        else:
+            first = longest
+        # The other form: what changed, sealed entry by entry, appended and synced; collecting is the same.
+        began, before = time.perf_counter(), time.process_time()
+        changed = b"".join(collector.packed[k] for k in keys[turn * CHANGED % len(keys) :][:CHANGED])
+        os.write(log, len(changed).to_bytes(4, "little") + blake3(changed).digest() + changed)
+        os.fsync(log)
+        if turn:
+            log_cpu += time.process_time() - before
+            log_wall += time.perf_counter() - began
+            logged += len(changed) + 36
+    os.close(log)
+    data = (pathlib.Path(folder) / f"{WRITES + 1:016d}.know").read_bytes()
+    store.close()
+    began = time.perf_counter()
+    document = decode(data)[2]
+    recall = Recall(document, 1.0, now, SETTINGS, lambda name: "", {})
+    loading = time.perf_counter() - began
+    mean = [sum(r[i] for r in rows) / len(rows) for i in range(5)]
+    return {
+        "accounts": accounts,
+        "longest_turn_ms": 1000 * max(r[0] for r in rows),
+        "first_turn_ms": 1000 * first,
+        "collect_cpu_ms": 1000 * mean[1],
+        "encode_ms": 1000 * mean[2],
+        "write_ms": 1000 * mean[3],
+        "core_percent": 100 * mean[4],
+        "bytes": size,
+        "load_ms": 1000 * loading,
+        "loaded": len(recall.raw),
+        "log_write_ms": 1000 * log_wall / WRITES,
+        "log_core_percent": 100 * (mean[1] + log_cpu / WRITES),
+        "log_bytes": logged / WRITES,
+    }
+
+
+def main() -> int:
+    """Measure, print a table and draw a chart."""
+    out = pathlib.Path(sys.argv[1])
+    out.mkdir(parents=True, exist_ok=True)
+    rows = []
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(5000, 10, 50)  # as the program has it
+    for accounts in SIZES:
+        with tempfile.TemporaryDirectory() as folder:
+            os.chmod(folder, 0o700)
+            rows.append(measure(accounts, folder))
+    names = list(rows[0])
+    print("| " + " | ".join(names) + " |\n|" + " --- |" * len(names))
+    for row in rows:
+        print(
+            "| "
+            + " | ".join(f"{row[n]:.2f}" if isinstance(row[n], float) else str(row[n]) for n in names)
+            + " |"
+        )
+    (out / "knowledge-cost.json").write_text(json.dumps(rows, indent=1))
+    draw(rows, out / "knowledge-cost.svg")
+    return 0
+
+
+def draw(rows: list[dict[str, float]], path: pathlib.Path) -> None:
+    """Cost by number of accounts, on logarithmic axes."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    matplotlib.rcParams["svg.hashsalt"] = "corkdeal"
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(1, 2, figsize=(9, 3.4))
+    for name, limit in (("longest_turn_ms", 2.0), ("write_ms", None), ("load_ms", 50.0)):
+        (line,) = axes[0].plot([r["accounts"] for r in rows], [r[name] for r in rows], "o-", label=name)
+        if limit:
+            axes[0].axhline(limit, color=line.get_color(), linestyle=":", linewidth=0.8)
+    for name, label in (("core_percent", "snapshot"), ("log_core_percent", "append log")):
+        axes[1].plot([r["accounts"] for r in rows], [r[name] for r in rows], "o-", label=label)
+    axes[1].axhline(1.0, color="grey", linestyle=":", linewidth=0.8)
+    axes[0].set_ylabel("ms; dotted: the aim")
+    axes[1].set_ylabel("% of a core at a write a second")
+    for axis in axes:
+        axis.set_xscale("log")
+        axis.set_yscale("log")
+        axis.set_xlabel("accounts")
+        axis.legend(fontsize=8)
+    figure.tight_layout()
+    figure.savefig(path, metadata={"Date": None})
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/corkdeal/brain.py
+++ b/corkdeal/brain.py
@@ -7,13 +7,16 @@
 
 import math
 import zlib
+from typing import TYPE_CHECKING
 
 from . import interface as t
 from . import peers
-from .memory import Memory
 from .plumbing import Plumbing
 from .state import Account, Edge, Pair, Pending, Server
 
+if TYPE_CHECKING:
+    from .memory import Memory
+
 SCAN_EVERY, WIDE_SCAN = 0.05, 0.2  # s; how late a hung server is noticed, with and without adjacent trades
 TRADE_EVERY = 0.25  # s; demand shifts within seconds, a message takes hundredths
 ETA = 0.5  # part of the gap closed by one trade; a full ring of three still converges at this
@@ -95,6 +98,8 @@
             a = self.accounts[customer] = Account(self.s.plans[plan], plan, first, spread, self.now, self.now)
             self.join_ring(a, customer)
             self.recall_account(a, customer)
+        if self.touched is not None:
+            self.touched.add(customer)
         return self.accounts[customer]
 
     def join_ring(self, a: Account, customer: int) -> None:
--- a/corkdeal/knowledge/ageing.py
+++ b/corkdeal/knowledge/ageing.py
@@ -49,8 +49,9 @@
 
 
 def towards(recorded: float, unknown: float, weight: float) -> float:
-    """The recorded figure as far as it still counts, for the rest the unknown one."""
-    return unknown + (recorded - unknown) * weight
+    """The recorded figure as far as it still counts, for the rest the unknown one; never outside the two."""
+    low, high = min(recorded, unknown), max(recorded, unknown)  # rounding could pass them
+    return min(high, max(low, unknown + (recorded - unknown) * weight))
 
 
 def aged_server(m: ServerMemory, age: float) -> ServerMemory | None:
--- a/corkdeal/knowledge/collect.py
+++ b/corkdeal/knowledge/collect.py
@@ -1,7 +1,7 @@
 """Turns the decisions' state into a document, a few accounts a turn, so that no turn of the reactor waits.
 
-Records carry their own times, so they need not all be of one moment. Only accounts that moved since the last
-document are packed anew; the others' bytes are kept.
+Records carry their own times, so they need not all be of one moment. Only accounts that were met since the
+last document, or had attempts out then, are packed anew; the others' bytes are kept.
 """
 
 from __future__ import annotations
@@ -17,9 +17,9 @@
 from .document import Head, entry, pack_account, page
 from .recall import Recall
 
-BATCH = 128  # accounts looked at between two looks at the clock
-TURN = 0.001  # s that one step may take before it yields
-PAGE = 5000  # accounts in a page
+BATCH = 32  # accounts packed between two looks at the clock
+TURN = 0.0007  # s that one step may take before it yields
+PAGE = 1000  # accounts in a page
 
 
 class Collector:
@@ -27,8 +27,9 @@
 
     def __init__(self, decisions: Any, name: str, program: str, recall: Recall | None = None) -> None:
         self.decisions, self.name, self.program, self.recall = decisions, name, program, recall
+        decisions.touched = None  # the first document holds all accounts
         self.packed: dict[int, bytes] = {}
-        self.marks: dict[int, float] = {}
+        self.open: set[int] = set()  # accounts packed while attempts of theirs were out
         self.unclaimed: dict[int, bytes] | None = None
         # entries of accounts that nobody had asked for when this document was begun
         self.rest: list[bytes] = []
@@ -39,22 +40,22 @@
         # Taken first and written first: one that is asked for meanwhile may stand twice, and the later
         # counts.
         self.rest = list(self.left_over(now(), clock()).values())
-        accounts, packed, marks = self.decisions.accounts, self.packed, self.marks
-        keys, began = iter(list(accounts)), tick()
-        shift = clock().boot - now()
+        d, packed, began = self.decisions, self.packed, tick()
+        keys = iter(list(d.accounts if d.touched is None else d.touched | self.open))
+        d.touched, self.open, shift = set(), set(), clock().boot - now()
         while batch := list(islice(keys, BATCH)):
             for key in batch:
-                a = accounts.get(key)
-                if a is not None and (a.open or marks.get(key) != memory.moved_at(a)):
+                a = d.accounts.get(key)
+                if a is not None:
                     packed[key] = entry(key, pack_account(memory.account_of(a, shift)))
-                    # What is open will end, which moves nothing else: it is packed once more after that.
-                    marks[key] = math.nan if a.open else memory.moved_at(a)
+                    if a.open:  # will end, of which nothing else tells
+                        self.open.add(key)
             if tick() - began > TURN:
                 yield
                 began, shift = tick(), clock().boot - now()
         yield
-        for key in marks.keys() - accounts.keys() if len(marks) > len(accounts) else ():
-            del marks[key], packed[key]
+        for key in packed.keys() - d.accounts.keys() if len(packed) > len(d.accounts) else ():
+            del packed[key]
 
     def left_over(self, now: float, clock: Reading) -> dict[int, bytes]:
         """Accounts of the earlier life that nobody has asked for yet."""
@@ -67,7 +68,7 @@
         else:
             for key in self.unclaimed.keys() - self.recall.raw.keys():
                 del self.unclaimed[key]
-        if not self.recall.raw:
+        if not self.recall.raw and not self.recall.servers:
             self.recall = None
         return self.unclaimed
 
@@ -86,6 +87,8 @@
         for s in d.servers.values():
             made = memory.server_of(s, d.s.classes, now, shift)
             servers.append(made._replace(address=addresses.get(made.server, "")))
+        if self.recall is not None:
+            servers += self.recall.unlisted(now, clock.boot)
         fleet: FleetMemory = d.learned()
         fleet = fleet._replace(work=tuple([w._replace(at=clock.boot) for w in fleet.work]))
         return Head(self.name, self.program, clock, every, clean, fleet, tuple(servers))
--- a/corkdeal/knowledge/recall.py
+++ b/corkdeal/knowledge/recall.py
@@ -131,6 +131,13 @@
             at=m.at + shift, asked_at=min(now, m.asked_at + shift), level=min(level, plan.burst),
             demand=max(0.0, m.demand), pairs=tuple(p._replace(told_at=p.told_at + shift) for p in m.pairs))
 
+    def unlisted(self, now: float, boot: float) -> list[ServerMemory]:
+        """Records of servers that no list has named yet, in this boot's seconds; none when too old."""
+        if self.servers and self.age_of(self.head.clock.boot, now) >= ageing.SLOWNESS.horizon:
+            self.counts["knowledge_server_gone"] += len(self.servers)
+            self.servers.clear()
+        return [m._replace(at=boot - self.age_of(m.at, now)) for m in self.servers.values()]
+
     def unclaimed(self, now: float, same_boot: bool, boot: float) -> dict[int, bytes]:
         """Accounts that nobody asked for, as entries of the next document: a second restart must not lose
         them.
--- a/corkdeal/memory.py
+++ b/corkdeal/memory.py
@@ -161,9 +161,3 @@
             a.edges[e.peer] = Edge(e.asked, e.spent, e.heard, e.told)
     if resumes:
         a.asked, a.spent = m.asked, m.spent
-
-
-def moved_at(a: Account) -> float:
-    """When an account last changed otherwise than by its refill; attempts that end change it too, see `open`.
-    """
-    return max(a.asked_at, a.told_at)
--- a/corkdeal/plumbing.py
+++ b/corkdeal/plumbing.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import random
+from typing import TYPE_CHECKING
 
 from . import interface as t
-from . import memory, peers
+from . import peers
 from .state import Account, Edge, Pair, Pending, Server
 
+if TYPE_CHECKING:  # imported where an earlier life's knowledge is used; without one it costs nothing
+    from . import memory
+
 
 def later(a: int, b: int) -> bool:
     """Whether a start was after another; 32 bits of milliseconds begin anew every 49.7 days."""
@@ -35,6 +39,7 @@
         self.timers: dict[int, int] = {}
         self.token, self.round, self.ticking, self.begun = 0, 0, False, False
         self.earlier: memory.Memory | None = None  # of an earlier life
+        self.touched: set[int] | None = None  # customers met since a keeper last looked, if there is one
         self.born = 0  # own incarnation, ms; 0 until the first event
         self.peer_born: dict[int, int] = {}
         self.peer_heard: dict[int, float] = {}
@@ -78,6 +83,7 @@
 
     def learned(self) -> memory.FleetMemory:
         """What is known of the fleet and of peers' incarnations, for a later life."""
+        from . import memory
         work = tuple([memory.WorkMemory(self.s.classes[cls].name, size, seconds)
                       for (cls, size), seconds in self.work.items()])
         return memory.FleetMemory(self.pace, self.slow, self.retries_left, work, self.s.me, self.s.gateways,
@@ -87,12 +93,14 @@
         """A server that the list names for the first time, with what an earlier life knew of it."""
         server = Server(entry)
         if self.earlier and (known := self.earlier.server(entry, self.now)):
+            from . import memory
             memory.put_server(server, known, self.s.classes, self.now)
         return server
 
     def recall_account(self, a: Account, customer: int) -> None:
         """Give an account that was just made what an earlier life knew of it."""
         if self.earlier and (known := self.earlier.account(customer, a.plan, a.first, a.spread, self.now)):
+            from . import memory
             memory.put_account(a, known, self.earlier.resumes())
 
     def set_deadline(self, rid: int, delay: float) -> None:
--- a/tests/knowledge/test_recall.py
+++ b/tests/knowledge/test_recall.py
@@ -10,6 +10,7 @@
 from corkdeal.brain import Gateway
 from corkdeal.knowledge import document
 from corkdeal.knowledge.clock import Reading
+from corkdeal.knowledge.clock import age as clock_age
 from corkdeal.knowledge.collect import Collector
 from corkdeal.knowledge.recall import ROUND_LEAP, Recall
 from corkdeal.memory import ServerMemory, ShutMemory
@@ -213,6 +214,38 @@
         assert sorted(doc.raw_accounts()) == [7, 8]
 
 
+def test_servers_that_no_list_names_are_kept_for_a_while_and_then_counted_as_gone():
+    doc = samples.document(msgspec.structs.replace(samples.HEAD, servers=(SERVER,)), {})
+    recall = recalled(doc, 2.0, 9000.0)
+    gateway = Gateway(settings(), seed=1)
+    gateway.remember(recall)
+    gateway.handle(9000.0, [listed("other")])
+    again = kept(gateway, 9010.0, recall=recall).head
+    (found,) = (s for s in again.servers if s.server == "a")
+    assert again.clock.boot - found.at == pytest.approx(12.0) and found.slow == SERVER.slow
+    assert [s.server for s in kept(gateway, 9200.0, recall=recall).head.servers] == ["other"]
+    assert recall.counts["knowledge_server_gone"] == 1
+
+
+@pytest.mark.parametrize("step", [3600.0, -3600.0, 10 * 365 * 86400.0, -10 * 365 * 86400.0])
+def test_a_step_of_the_wall_clock_while_it_runs_ages_nothing(step):
+    gateway = Gateway(settings(), seed=1)
+    gateway.handle(8000.0, [listed("a"), helpers.request(1, customer=7)])
+    collector = Collector(gateway, "n0", "test")
+    docs = []
+    for now, wall in ((8000.1, 8000.1), (8001.1, 8001.1 + step)):  # the second write is after the step
+        clock = Reading(wall, now - 3000.0, "boot")
+        for _ in collector.steps(lambda n=now: n, lambda c=clock: c, lambda: 0.0):
+            pass
+        head = collector.head(now, clock, 1.0, False, {})
+        docs.append(document.decode(b"".join(document.encode(1, head, list(collector.pages()))))[2])
+    for doc, lived in zip(docs, (2.0, 1.0), strict=True):
+        age, odd = clock_age(doc.head.clock, Reading(8002.1 + step, 5002.1, "boot"))
+        assert age == pytest.approx(lived) and odd == (("clock_stepped",) if doc is docs[0] else ())
+        made = recalled(doc, age, 8002.1).account(7, PLAN, 0, 3, 8002.1)
+        assert made.at == pytest.approx(8000.0)
+
+
 def test_only_what_moved_is_packed_again_and_what_is_forgotten_goes():
     gateway = Gateway(settings(), seed=1)
     gateway.handle(8000.0, [listed("a"), helpers.request(1, customer=7), helpers.request(2, customer=8)])
