Know halls by address sets and tiers, and declare one lost from a few failures

Need: the groundwork of losing and regaining a hall. A sequential test over a hall's servers declares it lost. Not joined to the gateway's choices yet.

--- a/corkdeal/cli/__init__.py
+++ b/corkdeal/cli/__init__.py
@@ -14,6 +14,8 @@
 COMMANDS = {
     "serve": ("serve", "Serve until a planned end (SIGTERM)."),
     "check": ("check", "Check a configuration and the operators' file."),
+    "experiment": ("experiment", "Run experiments on stand-ins."),
+    "halls": ("halls", "Look at halls as the operators' file has them."),
     "knowledge": ("knowledge", "Look at and repair what survives a restart."),
     "version": ("version", "Tell versions of the program and its file format."),
 }
--- a/corkdeal/options/reader.py
+++ b/corkdeal/options/reader.py
@@ -110,7 +110,13 @@
             made[name] = record(node, kinds[name], faults)
     if faults:
         raise OptionsError(path, faults)
-    return Options(**made)
+    options = Options(**made)
+    if options.halls:
+        from . import halls
+        faults = [Fault(*place.at(), node, text) for place, node, text in halls.faults(options.halls)]
+        if faults:
+            raise OptionsError(path, faults)
+    return options
 
 
 def key_of(name: str) -> str:
@@ -133,29 +139,50 @@
         yield inner.name, inner.args[0] if single else None, child
 
 
-def record(node: Placed, kind: type, faults: list[Fault]) -> Any:
+def record(node: Placed, kind: type, faults: list[Fault], above: str = "") -> Any:
     """One node as its record; None and more faults where that can't be."""
-    before, named, fields = len(faults), node.value.name, {f.name: f for f in dataclasses.fields(kind)}
+    before, named = len(faults), f"{above}{node.value.name}"
+    fields = {f.name: f for f in dataclasses.fields(kind)}
     types, values = get_type_hints(kind), {}
-    if node.value.args:
-        faults.append(Fault(*node.value.args[0].at(), named, "takes settings by name only"))
+    children = {f.metadata["child"]: f for f in fields.values() if "many" in f.metadata}
+    scalars = {name for name, f in fields.items() if "least" in f.metadata and f.metadata["argument"] is None}
+    arguments = sorted((f.metadata["argument"], f) for f in fields.values()
+                       if f.metadata.get("argument") is not None)
+
+    def take(name: str, value: Placed, path: str) -> None:
+        values[name], wrong = checked(value.value, types[name], fields[name].metadata)
+        if wrong:
+            faults.append(Fault(*value.at(), path, wrong))
+
+    for (_, field), value in zip(arguments, node.value.args, strict=False):
+        take(field.name, value, named)
+    if len(node.value.args) > len(arguments):
+        said = "takes settings by name only" if not arguments else f"takes {len(arguments)} values"
+        faults.append(Fault(*node.value.args[len(arguments)].at(), named, said))
     for name, value, place in given(node):
         key, path = key_of(name), f"{named}.{name}"
-        if key not in fields:
-            faults.append(Fault(*place.at(), path, f"unknown setting; known are {listed(fields)}"))
+        if name in children and place is not value:
+            field = children[name]
+            made = record(place, field.metadata["many"], faults, f"{named}.")
+            values.setdefault(field.name, []).append(made)
+        elif key not in scalars:
+            known = [*scalars, *children]
+            faults.append(Fault(*place.at(), path, f"unknown setting; known are {listed(known)}"))
         elif key in values:
             faults.append(Fault(*place.at(), path, "stands here a second time"))
         elif value is None:
             faults.append(Fault(*place.at(), path, "takes exactly one value"))
             values[key] = None
         else:
-            values[key], wrong = checked(value.value, types[key], fields[key].metadata)
-            if wrong:
-                faults.append(Fault(*value.at(), path, wrong))
+            take(key, value, path)
     for name, field in fields.items():
         if name not in values and field.default is dataclasses.MISSING:
             faults.append(Fault(*node.at(), f"{named}.{name.replace('_', '-')}", "must be given"))
-    return kind(**values) if len(faults) == before else None
+        if "placed" in field.metadata:
+            values[name] = node
+    if len(faults) > before:
+        return None
+    return kind(**{name: tuple(v) if isinstance(v, list) else v for name, v in values.items()})
 
 
 def checked(value: Any, kind: type, bounds: Any) -> tuple[Any, str]:
--- /dev/null
+++ b/tests/halls/test_view.py
@@ -0,0 +1,145 @@
+"""Nets, tiers and the declaration of a lost hall."""
+
+import ipaddress
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from corkdeal.experiment.cuts import HALLS, TROUBLES, Day
+from corkdeal.halls import tiers
+from corkdeal.halls.nets import Net, Nets
+from corkdeal.halls.tiers import Hall, Tiers
+
+
+@pytest.mark.parametrize(
+    ("address", "hall"),
+    [
+        ("10.1.2.3", "north"),
+        ("10.1.9.1", "east"),
+        ("10.2.0.1", None),
+        ("2001:db8:1::7", "north"),
+        ("2001:db8:2::7", "south"),
+        ("::1", None),
+        ("nowhere", None),
+        ("", None),
+    ],
+)
+def test_the_longest_net_counts(address, hall):
+    nets = Nets(
+        [
+            Net("10.1.0.0/16", "north"),
+            Net("10.1.9.0/24", "east"),
+            Net("2001:db8::/32", "south"),
+            Net("2001:db8:1::/48", "north"),
+        ]
+    )
+    assert nets.wrong == [] and nets.hall_of(address) == hall
+
+
+class Place:
+    def __init__(self, line):
+        self.line = line
+
+    def at(self):
+        return self.line, 2
+
+
+@pytest.mark.parametrize(
+    ("nets", "why"),
+    [
+        (["10.0.0.0/33"], "is no net in CIDR form"),
+        (["10.0.0.1"], "is no net"),
+        (["10/8"], "is no net"),
+        (["x/8"], "is no net"),
+        (["10.0.0.1/24"], "10.0.0.0/24 is meant"),
+        (["2001:db8::1/32"], "bits set"),
+        (["10.0.0.0/8", "10.0.0.0/8"], "is given twice; first for north at line 1, column 2"),
+        (["10.0.0.0/8", "10.1.0.0/16"], "overlaps 10.0.0.0/8 of the same hall at line 1, column 2"),
+    ],
+)
+def test_what_is_wrong_is_told_with_its_place(nets, why):
+    made = Nets([Net(text, "north", Place(i + 1)) for i, text in enumerate(nets)])
+    assert why in made.wrong[0].why and made.wrong[0].net.place.at() == (len(nets), 2)
+
+
+def test_a_net_between_makes_the_inner_one_meaningful():
+    made = Nets([Net("10.0.0.0/8", "a"), Net("10.1.0.0/16", "b"), Net("10.1.1.0/24", "a")])
+    assert made.wrong == [] and made.hall_of("10.1.1.1") == "a" and made.hall_of("10.1.2.1") == "b"
+
+
+NETS = st.dictionaries(
+    st.builds(
+        lambda n, size: ipaddress.ip_network((n >> (32 - size) << (32 - size), size)),
+        st.integers(0, 2**32 - 1),
+        st.integers(1, 32),
+    ),
+    st.sampled_from("abc"),
+    max_size=12,
+)
+
+
+@given(NETS, st.lists(st.integers(0, 2**32 - 1), max_size=20))
+def test_look_ups_agree_with_a_walk_over_all_nets(nets, addresses):
+    made = Nets([Net(str(net), hall) for net, hall in nets.items()])
+    for number in [*addresses, *(int(n.network_address) for n in nets)]:
+        address = ipaddress.ip_address(number)
+        holding = [n for n in nets if address in n]
+        best = nets[max(holding, key=lambda n: n.prefixlen)] if holding else None
+        assert made.hall_of(str(address)) == best
+
+
+def test_tiers_go_outwards_over_two_levels():
+    halls = [Hall("n", "campus"), Hall("e", "campus"), Hall("s", "town"), Hall("w", "town")]
+    assert Tiers.of(halls).tiers("n") == (("n",), ("e",), ("s", "w"))
+    assert Tiers.of(halls, {("w", "n"): 0.5}).tiers("n") == (("n",), ("w",), ("e",), ("s",))
+    assert Tiers.of([Hall("n"), Hall("e"), Hall("s")]).tiers("e") == (("e",), ("n", "s"))
+    assert Tiers.of(halls).distance("n", "elsewhere") == tiers.FAR
+    for wrong in (
+        {("n", "x"): 1.0},
+        {("n", "n"): 1.0},
+        {("n", "e"): 0.0},
+        {("n", "e"): 1.0, ("e", "n"): 2.0},
+    ):
+        with pytest.raises(ValueError):
+            Tiers.of(halls, wrong)
+
+
+NORTH, EAST, SOUTH = HALLS
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_cut_is_declared_once_and_soon(seed):
+    day = Day(seed)
+    day.run(10)
+    assert day.declared == []
+    day.cut = {EAST}
+    day.run(15)
+    assert [h for _, h in day.declared] == [EAST] == day.losses.lost() and day.declared[0][0] < 11.5
+    day.cut = set()
+    day.losses.returned(EAST)
+    day.run(25)
+    assert len(day.declared) == 1
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("kind", TROUBLES)
+def test_other_troubles_are_no_cut(seed, kind):
+    day = Day(seed)
+    day.run(10)
+    day.trouble(kind)
+    day.run(40)
+    assert day.declared == []
+
+
+def test_two_of_three_halls_may_go_and_without_any_answer_none_is_declared():
+    day = Day(1)
+    day.run(10)
+    day.cut = {NORTH, EAST}
+    day.run(14)
+    assert day.losses.lost() == [EAST, NORTH]
+    alone = Day(2)
+    alone.run(10)
+    alone.cut = set(HALLS)  # the gateway itself is cut off
+    alone.run(20)
+    assert alone.losses.lost() == []
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -20,12 +20,12 @@
     "wire": {"interface"},
     "drill": {"wire", "brain"},
     "logs": set(),
-    "options": set(),
+    "options": {"halls"},
     "knowledge": DECIDING | {"logs", "options"},
     "standin": DECIDING | {"wire", "options", "logs", "net"},
     "net": DECIDING | {"wire", "logs", "options", "knowledge"},
-    "experiment": DECIDING | {"wire", "options", "knowledge", "standin", "net", "logs"},
-    "cli": {"options", "knowledge", "net", "experiment", "standin", "logs"},
+    "experiment": DECIDING | {"halls", "wire", "options", "knowledge", "standin", "net", "logs"},
+    "cli": {"halls", "options", "knowledge", "net", "experiment", "standin", "logs"},
     "__main__": {"cli"},
     "__init__": {"brain"},
 }
@@ -72,8 +72,8 @@
         "from corkdeal.net.__main__ import main; main()\n"
         "from twisted.internet import reactor\n"
         "bad = {'structlog', 'msgspec', 'zstandard', 'blake3', 'kdl', 'click', 'numpy'} & set(sys.modules)\n"
-        "sys.exit(', '.join(bad | {m for m in sys.modules if m.startswith(('corkdeal.knowledge', "
-        "'corkdeal.options', 'corkdeal.cli'))}) or 0)"
+        "off = tuple('corkdeal.' + p for p in ('knowledge', 'memory', 'options', 'cli', 'halls'))\n"
+        "sys.exit(', '.join(bad | {m for m in sys.modules if m.startswith(off)}) or 0)"
     )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT)
     assert done.returncode == 0, done.stderr
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -29,7 +29,7 @@
     ("text", "line", "column", "node", "said"),
     [
         ('log {\n  format "xml"\n}', 2, 10, "log.format", "must be one of text, json"),
-        ("\n  bogus 1", 2, 3, "bogus", "unknown node; known are knowledge, log"),
+        ("\n  bogus 1", 2, 3, "bogus", "unknown node; known are halls, knowledge, log"),
         ("log colour=true", 1, 12, "log.colour", "unknown setting"),
         ('log level="info" level=3', 1, 24, "log.level", "must be text"),
         ('log "json"', 1, 5, "log", "takes settings by name only"),
@@ -54,6 +54,42 @@
     assert (fault.line, fault.column, fault.node) == (line, column, node) and said in fault.text
 
 
+HALLS = """halls {
+    hall "north" region="campus" { net "10.1.0.0/16"; net "2001:db8::/32"; }
+    hall "east" region="campus" weight=2 { net "10.2.0.0/16"; }
+    hall "south" region="town"
+    distance "north" "south" 1.5
+}"""
+
+
+def test_halls_have_nets_regions_and_distances():
+    made = options.parse(HALLS).halls
+    assert [(h.name, h.region, h.weight, [n.cidr for n in h.nets]) for h in made.halls] == [
+        ("north", "campus", 1.0, ["10.1.0.0/16", "2001:db8::/32"]), ("east", "campus", 2.0, ["10.2.0.0/16"]),
+        ("south", "town", 1.0, [])]
+    assert [(d.one, d.other, d.value) for d in made.distances] == [("north", "south", 1.5)]
+
+
+@pytest.mark.parametrize(("old", "new", "line", "column", "node", "said"), [
+    ("10.2.0.0/16", "10.1.0.0/16", 3, 44, "halls.hall.net", "twice; first for north at line 2, column 36"),
+    ("2001:db8::/32", "10.1.2.0/24", 2, 55, "halls.hall.net", "overlaps 10.1.0.0/16 of the same hall"),
+    ("10.2.0.0/16", "10.2.0.1/16", 3, 44, "halls.hall.net", "10.2.0.0/16 is meant"),
+    ('hall "south"', 'hall "east"', 4, 5, "halls.hall", "second time"),
+    ('"north" "south" 1.5', '"north" "west" 1.5', 5, 5, "halls.distance", "there is no hall 'west'"),
+    ("1.5", "1.5 2", 5, 34, "halls.distance", "takes 3 values"),
+    ("weight=2", "weight=0", 3, 40, "halls.hall.weight", "between 0.01 and 100"),
+    ('net "10.2.0.0/16"', "net 3", 3, 48, "halls.hall.net", "must be text"),
+    ('"south" 1.5', '"south"', 5, 5, "halls.distance.value", "must be given"),
+    ('distance "north"', 'near "north"', 5, 5, "halls.near", "known are distance, hall"),
+])
+def test_a_fault_of_halls_is_told_with_its_place(old, new, line, column, node, said):
+    assert old in HALLS
+    with pytest.raises(options.OptionsError) as caught:
+        options.parse(HALLS.replace(old, new))
+    fault = caught.value.faults[0]
+    assert (fault.line, fault.column, fault.node) == (line, column, node) and said in fault.text
+
+
 def test_all_faults_are_told_at_once_in_order():
     with pytest.raises(options.OptionsError) as caught:
         options.parse("x\nlog level=1\nknowledge {\n every 99\n}")
