--- a/corkdeal/experiment/summary.py
+++ b/corkdeal/experiment/summary.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import statistics
 from collections.abc import Iterable
 from typing import Any
 
@@ -11,14 +12,12 @@
 
 def mean_and_half(values: Iterable[float]) -> tuple[float, float]:
     """Mean and half of the 95% interval of Student's t; the interval is endless for one value."""
-    import numpy as np
-
-    v = np.asarray(list(values), dtype=float)
+    v = list(values)
     if len(v) < 2:
-        return float(v.mean()) if len(v) else math.nan, math.inf
+        return v[0] if v else math.nan, math.inf
     free = len(v) - 1
     times = T95.get(free) or T95[max(k for k in T95 if k <= free)]
-    return float(v.mean()), float(times * v.std(ddof=1) / math.sqrt(len(v)))
+    return statistics.mean(v), times * statistics.stdev(v) / math.sqrt(len(v))
 
 
 def by_seed(runs: list[dict[str, Any]]) -> dict[int, dict[str, dict[str, Any]]]:
--- a/corkdeal/net/program.py
+++ b/corkdeal/net/program.py
@@ -52,7 +52,7 @@
             count("options_refused")
             return logs.event("reload_refused", error=str(error))
         old, self.options = self.options, new
-        changed = [name for name in new.__slots__ if getattr(new, name) != getattr(old, name, None)]
+        changed = [name for name in vars(new) if getattr(new, name) != getattr(old, name, None)]
         if "log" in changed:
             log_to(new, self.config.name)
         if "knowledge" in changed:
--- a/corkdeal/options/records.py
+++ b/corkdeal/options/records.py
@@ -31,7 +31,7 @@
     return field(default=None, compare=False, repr=False, metadata={"placed": True})
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True)
 class LogOptions:
     """`log`: how a line of the log is written."""
 
@@ -39,7 +39,7 @@
     level: str = setting("info", choices=("debug", "info", "warn", "error"))
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True)
 class KnowledgeOptions:
     """`knowledge`: what survives a restart. Times are in seconds."""
 
@@ -51,7 +51,7 @@
     stop_wait: float = setting(0.5, least=0.0, most=10.0)  # and at the end
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True)
 class NetOptions:
     """`net "10.1.0.0/16"`: a net of a hall."""
 
@@ -59,7 +59,7 @@
     place: Any = placed()
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True)
 class HallOptions:
     """`hall "north-hall"`: one hall."""
 
@@ -70,7 +70,7 @@
     place: Any = placed()
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True)
 class DistanceOptions:
     """`distance "north-hall" "east-hall" 1.5`: counts both ways; 1 is near, 2 is far."""
 
@@ -80,7 +80,7 @@
     place: Any = placed()
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True)
 class HallsOptions:
     """`halls`: who stands where, and how near."""
 
@@ -88,7 +88,7 @@
     distances: tuple[DistanceOptions, ...] = many(DistanceOptions, "distance")
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True)
 class Options:
     """The whole file; None is off."""
 
