Let the kill test's answering thread wait for requests without ending

Cause: it raised queue.Empty once no request came for 20 s, which pytest reports as a thread's failure in a later test. It now looks again every 0.1 s until the test ends.

--- a/tests/knowledge/test_program.py
+++ b/tests/knowledge/test_program.py
@@ -1,8 +1,10 @@
 """The real program with knowledge on: killed at any moment, restarted, its folder taken, its file changed."""
 
+import contextlib
 import json
 import os
 import pathlib
+import queue
 import random
 import signal
 import threading
@@ -81,11 +83,8 @@
 
         def answer():
             while not stop.is_set():
-                asked = self.world.next()
-                try:
-                    asked.conn.send(served())
-                except (OSError, AttributeError):
-                    continue
+                with contextlib.suppress(queue.Empty, OSError, AttributeError):
+                    self.world.asked.get(timeout=0.1).conn.send(served())
 
         threading.Thread(target=answer, daemon=True).start()
         seen, rid = 0, 0
