Begin a ledger anew with a peer that started again before its account was met

Cause: accounts are taken from knowledge only when their customer comes. A peer that had restarted by then counts its rounds from one, while the restored ledger remembered higher ones, so its notes were dropped and slices stood still. put_account now takes a ledger only if the peer's incarnation is the recorded one.

--- a/corkdeal/memory.py
+++ b/corkdeal/memory.py
@@ -145,19 +145,21 @@
         tuple([EdgeMemory(peer, e.asked, e.spent, e.heard, e.told) for peer, e in a.edges.items()]))
 
 
-def put_account(a: Account, m: AccountMemory, resumes: bool) -> None:
+def put_account(a: Account, m: AccountMemory, resumes: bool, same: set[int]) -> None:
     """Give a newly met account its record; ledgers only where both ends go on with them.
 
+    A peer that is not among the `same` started again since: its rounds begin anew and so must the ledger.
     Attempts that were out ended with the process that had them, so none is open.
     """
     a.at, a.asked_at, a.level, a.ceiling, a.demand = m.at, m.asked_at, m.level, m.ceiling, m.demand
     a.caught_up = True  # it knows what it spent; a neighbour need not tell it
-    for p in m.pairs if resumes else ():
-        if p.peer in a.pairs:
+    if not resumes:
+        return
+    for p in m.pairs:
+        if p.peer in a.pairs and p.peer in same:
             a.pairs[p.peer] = Pair(p.slice, p.units, p.round, p.told_slice, p.told_level, p.told_at,
                                    told_totals=p.told_totals, sent_at=p.told_at)
-    for e in m.edges if resumes else ():
+    for e in m.edges:
         if e.peer in a.edges:
-            a.edges[e.peer] = Edge(e.asked, e.spent, e.heard, e.told)
-    if resumes:
-        a.asked, a.spent = m.asked, m.spent
+            a.edges[e.peer] = Edge(e.asked, e.spent, e.heard if e.peer in same else None, e.told)
+    a.asked, a.spent = m.asked, m.spent
