Tell in each ledger's record which incarnation of the peer it is with

Cause: a record that no customer claimed goes into the next document as it is, while that document names the peers' newer incarnations; a third life then took it for a ledger with the new one and, remembering higher rounds, would not hear it. The record itself now names the incarnation, which replaces the list kept beside it. Format 3 is not released, so its frozen sample is made anew.

--- a/corkdeal/knowledge/collect.py
+++ b/corkdeal/knowledge/collect.py
@@ -47,7 +47,7 @@
             for key in batch:
                 a = d.accounts.get(key)
                 if a is not None:
-                    packed[key] = entry(key, pack_account(memory.account_of(a, shift)))
+                    packed[key] = entry(key, pack_account(memory.account_of(a, shift, d.peer_born)))
                     if a.open:  # will end, of which nothing else tells
                         self.open.add(key)
             if tick() - began > TURN:
--- a/corkdeal/memory.py
+++ b/corkdeal/memory.py
@@ -55,6 +55,7 @@
     told_level: float
     told_at: float
     told_totals: bool
+    born: int = 0  # the peer's incarnation that this ledger is with
 
 
 class EdgeMemory(NamedTuple):
@@ -65,6 +66,7 @@
     spent: float
     heard: tuple[float, float] | None
     told: float
+    born: int = 0  # the neighbour's incarnation that was heard
 
 
 class AccountMemory(NamedTuple):
@@ -136,19 +138,22 @@
     server.shut = {names[s.cls]: (s.wait, now + s.left) for s in m.shut if s.cls in names}
 
 
-def account_of(a: Account, shift: float) -> AccountMemory:
-    """An account as it stands; its level is that of `at`, so it need not be brought up to now."""
+def account_of(a: Account, shift: float, born: dict[int, int]) -> AccountMemory:
+    """An account as it stands, its level that of `at`; `born` has the incarnations of peers."""
     return AccountMemory(
         a.plan.name, a.first, a.spread, a.at + shift, a.asked_at + shift, a.level, a.ceiling, a.demand,
-        a.open, a.asked, a.spent, tuple([PairMemory(peer, p.slice, p.units, p.round, p.told_slice,
-        p.told_level, max(0.0, p.told_at + shift), p.told_totals) for peer, p in a.pairs.items()]),
-        tuple([EdgeMemory(peer, e.asked, e.spent, e.heard, e.told) for peer, e in a.edges.items()]))
+        a.open, a.asked, a.spent,
+        tuple([PairMemory(peer, p.slice, p.units, p.round, p.told_slice, p.told_level,
+                          max(0.0, p.told_at + shift), p.told_totals, born.get(peer, 0))
+               for peer, p in a.pairs.items()]),
+        tuple([EdgeMemory(peer, e.asked, e.spent, e.heard, e.told, born.get(peer, 0))
+               for peer, e in a.edges.items()]))
 
 
-def put_account(a: Account, m: AccountMemory, resumes: bool, same: set[int]) -> None:
+def put_account(a: Account, m: AccountMemory, resumes: bool, born: dict[int, int]) -> None:
     """Give a newly met account its record; ledgers only where both ends go on with them.
 
-    A peer that is not among the `same` started again since: its rounds begin anew and so must the ledger.
+    A peer whose incarnation is not the one in `born` started again, so the ledger begins anew too.
     Attempts that were out ended with the process that had them, so none is open.
     """
     a.at, a.asked_at, a.level, a.ceiling, a.demand = m.at, m.asked_at, m.level, m.ceiling, m.demand
@@ -156,10 +161,11 @@
     if not resumes:
         return
     for p in m.pairs:
-        if p.peer in a.pairs and p.peer in same:
+        if p.peer in a.pairs and p.born == born.get(p.peer, 0):
             a.pairs[p.peer] = Pair(p.slice, p.units, p.round, p.told_slice, p.told_level, p.told_at,
                                    told_totals=p.told_totals, sent_at=p.told_at)
     for e in m.edges:
         if e.peer in a.edges:
-            a.edges[e.peer] = Edge(e.asked, e.spent, e.heard if e.peer in same else None, e.told)
+            heard = e.heard if e.born == born.get(e.peer, 0) else None
+            a.edges[e.peer] = Edge(e.asked, e.spent, heard, e.told)
     a.asked, a.spent = m.asked, m.spent
--- a/corkdeal/plumbing.py
+++ b/corkdeal/plumbing.py
@@ -39,7 +39,6 @@
         self.timers: dict[int, int] = {}
         self.token, self.round, self.ticking, self.begun = 0, 0, False, False
         self.earlier: memory.Memory | None = None  # of an earlier life
-        self.earlier_peers: dict[int, int] = {}  # incarnations whose ledgers an earlier life kept
         self.touched: set[int] | None = None  # customers met since a keeper last looked, if there is one
         self.born = 0  # own incarnation, ms; 0 until the first event
         self.peer_born: dict[int, int] = {}
@@ -79,7 +78,6 @@
         self.work = {(classes[w.cls], w.size): w.seconds for w in known.work}
         if self.resumed():
             self.born, self.round, self.peer_born = known.born, known.round, dict(known.peers)
-            self.earlier_peers = dict(known.peers)
         elif known.born:  # the wall clock may have been set back, and peers take no earlier start
             self.born = (known.born + 1) & 0xFFFFFFFF or 1
 
@@ -103,8 +101,7 @@
         """Give an account that was just made what an earlier life knew of it."""
         if self.earlier and (known := self.earlier.account(customer, a.plan, a.first, a.spread, self.now)):
             from . import memory
-            same = {p for p, born in self.earlier_peers.items() if self.peer_born.get(p) == born}
-            memory.put_account(a, known, self.earlier.resumes(), same)
+            memory.put_account(a, known, self.earlier.resumes(), self.peer_born)
 
     def set_deadline(self, rid: int, delay: float) -> None:
         """Have the request's last moment announced."""
--- a/tests/knowledge/samples.py
+++ b/tests/knowledge/samples.py
@@ -27,7 +27,7 @@
     0.0,
     0.5,
     1,
-    pairs=(PairMemory(1, 1500, 0.5, 9, 0.45, 1.0, 4994.0, True),),
+    pairs=(PairMemory(1, 1500, 0.5, 9, 0.45, 1.0, 4994.0, True, 55),),
 )
 FLEET = FleetMemory(0.6, 1.5, 4.0, (WorkMemory("look", 1, 0.3, 5000.0),), 0, 2, 77, 12, ((1, 55),))
 HEAD = Head("n0", "test", CLOCK, 1.0, False, FLEET, (SERVER,))
--- a/tests/knowledge/test_forms.py
+++ b/tests/knowledge/test_forms.py
@@ -124,6 +124,7 @@
             FIGURE,
             FIGURE,
             st.booleans(),
+            st.integers(0, 2**32 - 1),
         ),
         max_size=2,
     ).map(tuple),
--- a/tests/knowledge/test_recall.py
+++ b/tests/knowledge/test_recall.py
@@ -194,6 +194,15 @@
     assert gateway.accounts[7].pairs[1].round == 2
 
 
+def test_a_ledger_carried_through_two_lives_is_still_with_the_peer_it_was_with():
+    """The second document names the peer's newer incarnation; the record in it is from before."""
+    head = samples.HEAD
+    newer = msgspec.structs.replace(head, fleet=head.fleet._replace(peers=((1, 99),)))
+    gateway = reborn(samples.document(newer), 5.0, 9000.0, settings(0, 2))
+    gateway.handle(9000.0, [listed("a"), helpers.request(1, spread=2)])
+    assert gateway.peer_born == {1: 99} and gateway.accounts[7].pairs[1].round == 0
+
+
 def test_a_wall_clock_set_back_does_not_make_peers_ignore_the_new_start():
     # the module's clock shows 10 ms, the old start was at 77 ms
     gateway = reborn(samples.document(), 40.0, 0.01)
