Give the gateway an operations address: status, figures, standby, backends out by hand

Design: corkdeal/net/ops.py, one leaf resource on Twisted's web server (already a dependency through the watch's client), loaded only where `ops` or $RELAY_OPS names an address. Standby turns PING to -ERR standby, closes idle channels now and the others after their last answer, and keeps the listening socket, so /active needs no restart. Held-out backends (net/handheld.py) are an overlay on the resolver result: the decisions see them draining whatever discovery says, and on exit as just started, so the cold budget eases them in; the set is written whole to $TMPDIR at each change for the next process. Not taken: h11 with our own protocol glue, for another pin and more code where Twisted's parser is at hand; and a ban inside the decision module, which would need a new event type in the host interface for what a list overlay says already.

Measured: tests by table for every call and method, the overlay and its file, and three on real sockets (a silent and a half caller delay no call; a held-out backend gets nothing across a new list and a new process; standby, PING and /active).

--- a/corkdeal/net/channel.py
+++ b/corkdeal/net/channel.py
@@ -20,6 +20,7 @@
 MOST_BAD = 16  # bad requests of one channel; past that it is closed, so that a flood of them costs little
 LINGER = 0.5  # s that a refused channel stays open, unread, so that its client can read why
 OK = b"+OK\r\n"
+STANDBY = b"-ERR standby\r\n"  # PING's answer on standby: the front takes anything but PONG as a no
 
 
 class Ready:
@@ -58,6 +59,7 @@
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)  # a client that reads no answers is not read either
         self.gateway.channels.add(self)
+        self.closing = self.gateway.standby  # served, then closed: the front sends no more of them soon
         if not self.gateway.descriptors.for_channel():
             count("channel_refused")
             self.turn_away(b"-ERR max number of clients reached\r\n")
@@ -104,7 +106,7 @@
                 self.pauseProducing()
             self.gateway.take(rpc)
         elif name == b"PING" and len(frame.items) == 2:
-            self.ready(b"+PONG\r\n")
+            self.ready(STANDBY if self.gateway.standby else b"+PONG\r\n")
         elif name in (b"PING", b"ECHO") and len(frame.items) == 3:
             self.ready(b"$%d\r\n%b\r\n" % (frame.items[2].size, frame.text(2)))
         elif name in (b"CLIENT", b"SELECT"):
@@ -148,8 +150,8 @@
                 self.transport.loseWriteConnection()
                 self.transport.pauseProducing()  # 60 MB that nobody wants would cost more than its client
                 self.gateway.reactor.callLater(LINGER, self.transport.abortConnection)
-            elif self.closing or self.half_closed:
-                self.end()
+            elif (self.closing and not self.parser.midway) or self.half_closed:
+                self.end()  # half a command is waited for; the sweep bounds that wait
 
     def end(self) -> None:
         """Close once all is written. A transport with a paused producer would wait for it for ever."""
@@ -214,3 +216,4 @@
 def listen(reactor: Any, at: tuple[str, int], gateway: Any) -> Any:
     """Open the port, on this address only."""
     return reactor.listenTCP(at[1], Channels(gateway), backlog=socket.SOMAXCONN, interface=at[0])
+
--- a/corkdeal/net/config.py
+++ b/corkdeal/net/config.py
@@ -35,6 +35,7 @@
     peers_all: Address | None = None
     known: ResolverResult | None = None
     sockets: int = 1024
+    ops: Address | None = None  # the operators' HTTP address; without it there is none
 
 
 def address(raw: object, key: str) -> Address:
@@ -121,7 +122,8 @@
         peer_listen=address(raw["peer_listen"], "peer_listen") if raw.get("peer_listen") else None,
         peers=tuple(address(p, f"peers.{i}") for i, p in enumerate(peers)),
         peers_all=address(raw["peers_all"], "peers_all") if raw.get("peers_all") else None,
-        known=known, sockets=sockets)
+        known=known, sockets=sockets,
+        ops=address(ops, "ops") if (ops := raw.get("ops") or env.get("RELAY_OPS")) else None)
 
 
 def load(env: Mapping[str, str] = os.environ) -> Config:
--- a/corkdeal/net/descriptors.py
+++ b/corkdeal/net/descriptors.py
@@ -49,7 +49,8 @@
     def sweep(self) -> None:
         """End channels that sent nothing or half a command, and those idle for long."""
         now, many = self.now(), len(self.channels) > self.most // 8
-        for each in [c for c in self.channels if c.spare]:
+        # a channel taken on standby is closing from its start, and is timed like the others until it speaks
+        for each in [c for c in self.channels if c.spare or (c.closing and not c.spoke and not c.refused)]:
             if each.parser.midway:
                 if now - (each.begun if each.spoke else each.since) > COMMAND_LATE:
                     count("channel_without_command")
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -8,6 +8,7 @@
 import random
 import time
 import traceback
+from collections import Counter
 from typing import Any
 
 from .. import interface as t
@@ -16,6 +17,7 @@
 from . import channel, invariants
 from .config import Config, ConfigError, load, text_of
 from .descriptors import Descriptors
+from .handheld import Handheld
 from .invariants import count, holds
 from .peering import Peering
 from .resolver import ResolverResult, Watch
@@ -60,6 +62,15 @@
         self.started = self.draining = self.ending = False
         self.before_end: list[Any] = []  # whose `stop(done)` is called after the last answer
         self.reported = ""
+        self.tally: Counter[str] = Counter()  # answers by kind, attempts and reloads: the operators' figures
+        self.listed: dict[str, t.ServerEntry] = {}  # the resolver result as discovery gave it
+        self.listed_at: dict[str, tuple[str, int]] = {}
+        self.revision = 0
+        self.standby = False  # on the operators' word: PING turns and channels close as they fall idle
+        self.ops_port: Any = None
+        self.handheld = Handheld(config.name) if config.ops else None
+        if self.handheld:
+            self.handheld.load()
         self.act = {t.Send: self.send, t.Refuse: self.refuse, t.Fail: self.fail, t.Cancel: self.cancel,
                     t.SetTimer: self.set_timer, t.Probe: self.probe, t.CloseIdle: self.close_idle,
                     t.Tell: self.tell, t.Log: self.write_log, t.Subscribe: self.subscribe,
@@ -78,14 +89,21 @@
             self.take_list(known, t.ListKind.CACHED)
         else:
             self.feed(t.ServerList(t.ListKind.CACHED))
-        if self.config.peer_listen:
-            host, port = self.config.peer_listen
-            self.reactor.listenUDP(port, self.peering, interface=host, maxPacketSize=1024)
+        if self.config.ops:
+            from . import ops
+            self.ops_port = ops.listen(self.reactor, self.config.ops, self)
+        self.hear()
         self.watch.run()
         self.reactor.callLater(START_WAIT, self.open)
         self.reactor.callLater(SWEEP_EVERY, self.sweep)
         self.reactor.callLater(REPORT_EVERY, self.report)
 
+    def hear(self) -> None:
+        """Take the peers' datagrams."""
+        if self.config.peer_listen:
+            host, port = self.config.peer_listen
+            self.reactor.listenUDP(port, self.peering, interface=host, maxPacketSize=1024)
+
     def open(self) -> None:
         """Let clients in; from here on PING is answered."""
         if not self.started and not self.draining:
@@ -93,6 +111,71 @@
             self.port = channel.listen(self.reactor, self.config.listen, self)
             logs.event("serving", name=self.config.name, at=text_of(self.config.listen))
 
+    @property
+    def ready(self) -> bool:
+        """Whether this process wants new clients: it serves, and neither drains nor stands by."""
+        return self.started and not (self.draining or self.standby)
+
+    def state(self) -> str:
+        """In a word, for the operations address."""
+        return ("ending" if self.draining else "standby" if self.standby else "serving" if self.started
+                else "starting")
+
+    def figures(self) -> dict[str, int]:
+        """The operators' figures: answers by kind since the start, and the backends as listed now."""
+        held = self.handheld.out if self.handheld else set()
+        down = sum(1 for e in self.listed.values() if e.state is not t.ServerState.READY or e.server in held)
+        tally = {k: self.tally[k] for k in ("success", "busy", "failure", "backend_calls")}
+        return {**tally, "inflight": len(self.rpcs), "hosts_listed": len(self.listed), "hosts_down": down,
+                "reconfig_ok": self.tally["reconfig_ok"], "reconfig_failed": self.tally["reconfig_failed"]}
+
+    def stand_by(self) -> bool:
+        """Drain without ending: PING says no, channels close as they fall idle. Whether that is news."""
+        if self.standby:
+            return False
+        self.standby = True
+        logs.event("standby", open=len(self.rpcs), channels=len(self.channels))
+        for each in list(self.channels):
+            each.close_when_idle()
+        return True
+
+    def stand_up(self) -> bool:
+        """End a standby; new channels stay open again. Whether that is news."""
+        if not self.standby:
+            return False
+        self.standby = False
+        logs.event("active")
+        return True
+
+    def hold_out(self, server: str) -> bool | None:
+        """Send that backend nothing new, whatever the list says; None for an id that nobody has."""
+        assert self.handheld is not None
+        if server not in self.listed and server not in self.handheld.out:
+            return None
+        new = self.handheld.enter(server)
+        logs.event("held_out", server=server, new=new)
+        self.retell(server)
+        return new
+
+    def let_back(self, server: str) -> bool | None:
+        """Take that backend back, as one just started; None for an id that nobody has."""
+        assert self.handheld is not None
+        if server not in self.listed and server not in self.handheld.out:
+            return None
+        back = self.handheld.exit(server, self.now())
+        logs.event("let_back", server=server, new=back)
+        self.retell(server)
+        return back
+
+    def retell(self, server: str) -> None:
+        """Tell the decisions and the pool one listed backend anew, under the operators' word."""
+        if server not in self.listed or self.handheld is None:
+            return
+        entry = self.handheld.entry(self.listed[server])
+        self.events.append(t.ServerList(t.ListKind.DELTA, (entry,), self.revision))
+        self.pool.told(server, entry.state is t.ServerState.READY, self.listed_at[server])
+        self.pump()
+
     def watch_at(self, at: tuple[str, int], held: ResolverResult | None = None) -> Watch:
         """A watch of the discovery at that address; without a list held it asks for the whole one."""
         return Watch(self.reactor, at, self.settings, self.told, held, random.Random(self.config.seed))
@@ -103,7 +186,9 @@
             new = load()
         except ConfigError as error:
             count("reload_refused")
+            self.tally["reconfig_failed"] += 1
             return logs.event("reload_refused", error=str(error))
+        self.tally["reconfig_ok"] += 1
         late = [f.name for f in dataclasses.fields(new) if f.name not in AT_START
                 and getattr(new, f.name) != getattr(self.config, f.name)]
         self.watch.stop()
@@ -216,6 +301,7 @@
         self.out.pop((rid, attempt.number), None)
         rpc.attempt = None
         if reply.status is t.Status.OK and not rpc.done:
+            self.tally["success"] += 1
             self.answer(rid, [reply.value])
         self.feed(t.Outcome(rid, attempt.number, attempt.server, reply.status, elapsed, rpc.done,
                             report=report))
@@ -231,8 +317,21 @@
 
     def take_list(self, result: ResolverResult, kind: t.ListKind) -> None:
         """Follow a resolver result: the list leads its batch, so nothing is sent again to what drains."""
-        self.events.append(t.ServerList(kind, result.entries, result.revision))
-        for entry in result.entries:
+        entries = result.entries
+        if kind is not t.ListKind.DELTA:
+            self.listed, self.listed_at = {}, {}
+        for entry in entries:
+            if entry.state is t.ServerState.GONE:
+                self.listed.pop(entry.server, None)
+                self.listed_at.pop(entry.server, None)
+            else:
+                self.listed[entry.server] = entry
+                self.listed_at[entry.server] = result.addresses[entry.server]
+        self.revision = result.revision
+        if self.handheld:
+            entries = self.handheld.overlay(entries)
+        self.events.append(t.ServerList(kind, entries, result.revision))
+        for entry in entries:
             self.pool.told(entry.server, entry.state is t.ServerState.READY, result.addresses[entry.server])
         if kind is t.ListKind.FULL:
             for server in self.pool.addresses.keys() - result.addresses.keys():
@@ -292,16 +391,19 @@
         attempt = Attempt(rpc, rpc.attempts, a.server, now, until, rpc.parts(until - now))
         self.out[a.id, attempt.number] = rpc.attempt = attempt
         rpc.attempts += 1
+        self.tally["backend_calls"] += 1
         self.at(until, attempt)
         self.pool.send(attempt)
 
     def refuse(self, a: t.Refuse) -> None:
         """The unavailable status, with the time after which to come again where that is allowed."""
         wait = math.ceil(a.retry_after * 1000) if self.settings.may_advise_wait else 0
+        self.tally["busy"] += a.id in self.rpcs
         self.answer(a.id, [b"-BUSY %d\r\n" % wait if wait > 0 else b"-BUSY\r\n"])
 
     def fail(self, a: t.Fail) -> None:
         """A failure that promises nothing."""
+        self.tally["failure"] += a.id in self.rpcs
         self.answer(a.id, [FAILED])
 
     def cancel(self, a: t.Cancel) -> None:
--- a/tests/net_world.py
+++ b/tests/net_world.py
@@ -245,7 +245,7 @@
         self.peer.settimeout(PATIENCE)
         self.addCleanup(self.peer.close)
 
-    def start(self, known=None, options=None, **backends):
+    def start(self, known=None, options=None, config=None, **backends):
         for name, more in backends.items():
             self.world.add(name, **more)
         self.udp = free(socket.SOCK_DGRAM)
@@ -259,10 +259,11 @@
             "limits": {"sockets": 256},
             "settings": SETTINGS,
             "known": known,
+            **(config or {}),
         }
         path = self.path = pathlib.Path(self.folder.name, "config.json")
         path.write_text(json.dumps(self.config))
-        self.env = {"RELAY_CONFIG": str(path)}
+        self.env = {"RELAY_CONFIG": str(path), "TMPDIR": self.folder.name, **getattr(self, "more_env", {})}
         if options is not None:
             self.options = pathlib.Path(self.folder.name, "options.kdl")
             self.options.write_text(options)
@@ -277,6 +278,7 @@
             [sys.executable, *self.build, "-m", "corkdeal.net"],
             cwd=ROOT,
             env=self.env,
+            pass_fds=getattr(self, "fds", ()),
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
             text=True,
--- /dev/null
+++ b/tests/test_net_ops.py
@@ -0,0 +1,210 @@
+"""The operations address: its calls by table, what is held out by hand, and the program on real sockets."""
+
+import http.client
+import json
+import socket
+
+import pytest
+from twisted.web.test.requesthelper import DummyRequest
+
+from corkdeal import interface as t
+from corkdeal.net import handheld, ops
+from corkdeal.net.invariants import counts
+
+from .net_world import PATIENCE, Program, free, served
+
+
+class FakeGateway:
+    """What the calls ask of a gateway, and a record of what they changed."""
+
+    ready = True
+
+    def __init__(self):
+        self.changes = []
+
+    def state(self):
+        return "serving"
+
+    def figures(self):
+        return {"success": 3, "inflight": 1}
+
+    def hold_out(self, server):
+        self.changes.append(("out", server))
+        return None if server == "nobody" else True
+
+    def let_back(self, server):
+        self.changes.append(("back", server))
+        return None if server == "nobody" else True
+
+    def stand_by(self):
+        self.changes.append(("standby",))
+        return True
+
+    def stand_up(self):
+        self.changes.append(("active",))
+        return True
+
+
+CALLS = [  # method, path, code, what changes
+    (b"GET", "status", 200, []),
+    (b"HEAD", "status", 200, []),
+    (b"GET", "status/metrics", 200, []),
+    (b"GET", "status/", 200, []),
+    (b"PUT", "maintenance/enter/s-1", 200, [("out", "s-1")]),
+    (b"PUT", "maintenance/exit/s%2D1", 200, [("back", "s-1")]),
+    (b"PUT", "maintenance/enter/nobody", 404, [("out", "nobody")]),
+    (b"PUT", "standby", 200, [("standby",)]),
+    (b"PUT", "active", 200, [("active",)]),
+    (b"GET", "standby", 405, []),
+    (b"PUT", "status", 405, []),
+    (b"GET", "maintenance/enter/s-1", 405, []),
+    (b"POST", "active", 405, []),
+    (b"DELETE", "status", 405, []),
+    (b"PUT", "maintenance/enter", 404, []),
+    (b"PUT", "maintenance/enter/", 404, []),
+    (b"PUT", "maintenance/away/s-1", 404, []),
+    (b"GET", "", 404, []),
+    (b"GET", "statuses", 404, []),
+    (b"PUT", "standby/now", 404, []),
+]
+
+
+@pytest.mark.parametrize(("method", "path", "code", "changes"), CALLS)
+def test_each_call_answers_and_only_good_ones_change_anything(method, path, code, changes):
+    gateway = FakeGateway()
+    request = DummyRequest([p.encode() for p in path.split("/")] if path else [])
+    request.method = method
+    body = ops.Calls(gateway).render(request)
+    assert request.responseCode == code
+    assert gateway.changes == changes
+    assert json.loads(body).get("word", "YES") == ("YES" if code < 300 else "NO")
+
+
+def test_figures_are_named_with_the_prefix():
+    request = DummyRequest([b"status", b"metrics"])
+    assert json.loads(ops.Calls(FakeGateway()).render(request)) == {"app_success": 3, "app_inflight": 1}
+
+
+def entry(name, state=t.ServerState.READY, started=0.0):
+    return t.ServerEntry(name, state, started=started)
+
+
+def test_held_out_drains_whatever_the_list_says_and_comes_back_cold(tmp_path):
+    held = handheld.Handheld("n0", str(tmp_path))
+    assert held.enter("a") and not held.enter("a")  # two calls out
+    assert held.overlay([entry("a"), entry("b")]) == (entry("a", t.ServerState.DRAINING), entry("b"))
+    assert held.exit("a", 50.0) and not held.exit("a", 60.0)  # one call back ends both
+    assert held.overlay([entry("a"), entry("a", started=70.0)]) == (entry("a", started=50.0),
+                                                                    entry("a", started=70.0))
+
+
+def test_the_next_process_holds_the_same_backends_out(tmp_path):
+    first = handheld.Handheld("n0", str(tmp_path))
+    first.enter("a")
+    first.enter("b")
+    first.exit("b", 12.5)
+    second = handheld.Handheld("n0", str(tmp_path))
+    second.load()
+    assert (second.out, second.back) == ({"a"}, {"b": 12.5})
+    other = handheld.Handheld("n1", str(tmp_path))
+    other.load()
+    assert other.out == set()
+
+
+@pytest.mark.parametrize("text", [b"", b"{", b"[]", b'{"format":2,"out":[],"back":{}}',
+                                  b'{"format":1,"out":[3],"back":{}}', b'{"format":1,"out":[]}'])
+def test_a_file_that_cant_be_read_holds_nothing_out_and_is_counted(tmp_path, text):
+    held = handheld.Handheld("n0", str(tmp_path))
+    with open(held.path, "wb") as file:
+        file.write(text)
+    before = counts["held_out_unreadable"]
+    held.load()
+    assert held.out == set() and counts["held_out_unreadable"] == before + 1
+
+
+class Calling:
+    """A program with an operations address, and calls of it."""
+
+    build = ("-O",)
+
+    def start_ops(self, **backends):
+        self.ops = free()
+        self.start(config={"ops": self.ops}, **backends)
+
+    def call(self, method, path):
+        host, port = self.ops.split(":")
+        conn = http.client.HTTPConnection(host, int(port), timeout=PATIENCE)
+        try:
+            conn.request(method, path)
+            answer = conn.getresponse()
+            return answer.status, json.loads(answer.read())
+        finally:
+            conn.close()
+
+    def serve_one(self, client, rid):
+        self.ask(client, rid=rid)
+        asked = self.world.next()
+        asked.conn.send(served())
+        self.assertEqual(client.read(), [b"v"])
+        return asked.backend.name
+
+    def test_a_caller_that_stays_silent_or_halfway_delays_no_other(self):
+        self.start_ops(a={})
+        host, port = self.ops.split(":")
+        silent = socket.create_connection((host, int(port)), PATIENCE)
+        halfway = socket.create_connection((host, int(port)), PATIENCE)
+        halfway.sendall(b"GET /sta")
+        self.addCleanup(silent.close)
+        self.addCleanup(halfway.close)
+        self.assertEqual(self.call("GET", "/status"), (200, {"word": "YES", "state": "serving"}))
+        self.assertEqual(self.call("GET", "/nowhere")[0], 404)
+        bad = socket.create_connection((host, int(port)), PATIENCE)
+        self.addCleanup(bad.close)
+        bad.sendall(b"NOT HTTP AT ALL\r\n\r\n")
+        self.assertTrue(bad.recv(100).startswith(b"HTTP/1.1 400"))
+
+    def test_a_backend_held_out_gets_nothing_until_let_back_also_in_the_next_process(self):
+        self.start_ops(a={}, b={})
+        self.assertEqual(self.call("PUT", "/maintenance/enter/nobody")[0], 404)
+        self.assertEqual(self.call("PUT", "/maintenance/enter/a")[0], 200)
+        client = self.client()
+        self.assertEqual({self.serve_one(client, rid) for rid in range(6)}, {"b"})
+        self.world.tell()  # a new list that names a as ready changes nothing
+        self.assertEqual({self.serve_one(client, rid) for rid in range(6, 12)}, {"b"})
+        self.process.kill()
+        self.process.wait()
+        self.run_program()  # the same TMPDIR, as in an upgrade
+        self.line("serving ")
+        client = self.client()
+        self.assertEqual({self.serve_one(client, rid) for rid in range(12, 18)}, {"b"})
+        self.assertEqual(self.call("GET", "/status/metrics")[1]["app_hosts_down"], 1)
+        self.assertEqual(self.call("PUT", "/maintenance/exit/a")[0], 200)
+        self.assertEqual(self.call("PUT", "/maintenance/enter/b")[0], 200)  # so that a, cold, is the one left
+        self.assertEqual({self.serve_one(client, rid) for rid in range(18, 22)}, {"a"})
+
+    def test_standby_turns_ping_closes_idle_channels_and_active_brings_it_back(self):
+        self.start_ops(a={})
+        idle, busy = self.client(), self.client()
+        self.ask(busy, rid=1)
+        asked = self.world.next()
+        self.assertEqual(self.call("PUT", "/standby")[0], 200)
+        self.assertEqual(self.call("GET", "/status")[0], 503)
+        self.assertIsNone(idle.read())  # closed, being idle
+        asked.conn.send(served())
+        self.assertEqual(busy.read(), [b"v"])  # what was taken is answered, then the channel ends
+        self.assertIsNone(busy.read())
+        late = self.client()
+        late.send(b"*1\r\n$4\r\nPING\r\n")
+        self.assertEqual(late.read(), [b"ERR standby"])
+        self.assertIsNone(late.read())
+        self.assertEqual(self.call("PUT", "/active")[0], 200)
+        self.assertEqual(self.call("GET", "/status")[0], 200)
+        again = self.client()
+        again.send(b"*1\r\n$4\r\nPING\r\n")
+        self.assertEqual(again.read(), [b"PONG"])
+        self.assertEqual(self.serve_one(again, 2), "a")
+
+
+class OpsAddress(Calling, Program):
+    """The release build with an operations address."""
+
