Serve the clients' listening socket handed down in $RELAY_INHERITED_FD, beside the old process

Design: with RELAY_INHERITED_FD the gateway adopts that socket (made non-blocking first: Twisted accepts until EAGAIN and would wait in accept on a blocking one) and closes the number handed down, keeping Twisted's copy; the old process's stopListening at SIGTERM closes only its own copy, so connections queued in the socket are left to the new one. Not taken: SO_REUSEPORT on both ports, since the old process would have had to set it before it knew of an upgrade, and the kernel would then split datagrams and new connections by hash.

A test on real sockets hands a bound socket to the program and is served through it.

--- a/corkdeal/net/channel.py
+++ b/corkdeal/net/channel.py
@@ -217,3 +217,16 @@
     """Open the port, on this address only."""
     return reactor.listenTCP(at[1], Channels(gateway), backlog=socket.SOMAXCONN, interface=at[0])
 
+
+def adopt(reactor: Any, fd: int, gateway: Any) -> Any:
+    """Accept on a listening socket that was handed down, shared with the process before this one.
+
+    Twisted takes a copy of the descriptor, and the one handed down is closed: when this process stops
+    listening, only the copy closes, and connections that wait in the socket's queue are left to the others.
+    """
+    import os
+
+    os.set_blocking(fd, False)  # Twisted accepts until EAGAIN: on a blocking socket it would wait there
+    port = reactor.adoptStreamPort(fd, socket.AF_INET, Channels(gateway))
+    os.close(fd)
+    return port
--- a/corkdeal/net/config.py
+++ b/corkdeal/net/config.py
@@ -36,6 +36,7 @@
     known: ResolverResult | None = None
     sockets: int = 1024
     ops: Address | None = None  # the operators' HTTP address; without it there is none
+    inherited: int | None = None  # a listening socket for clients, handed down by whoever started this one
 
 
 def address(raw: object, key: str) -> Address:
@@ -91,6 +92,15 @@
         raise ConfigError(f"seed must be hexadecimal text, not {raw!r:.60}") from None
 
 
+def inherited_of(raw: object) -> int | None:
+    """The descriptor of an inherited listening socket, from RELAY_INHERITED_FD; empty is none."""
+    if raw in (None, ""):
+        return None
+    if not isinstance(raw, str) or not raw.isdecimal() or not 0 <= int(raw) < 1 << 20:
+        raise ConfigError(f"RELAY_INHERITED_FD must be a descriptor's number, not {raw!r:.60}")
+    return int(raw)
+
+
 def read(data: bytes, env: Mapping[str, str] = os.environ) -> Config:
     """Check a configuration; what it leaves out comes from the environment or a default."""
     try:
@@ -123,7 +133,8 @@
         peers=tuple(address(p, f"peers.{i}") for i, p in enumerate(peers)),
         peers_all=address(raw["peers_all"], "peers_all") if raw.get("peers_all") else None,
         known=known, sockets=sockets,
-        ops=address(ops, "ops") if (ops := raw.get("ops") or env.get("RELAY_OPS")) else None)
+        ops=address(ops, "ops") if (ops := raw.get("ops") or env.get("RELAY_OPS")) else None,
+        inherited=inherited_of(env.get("RELAY_INHERITED_FD")))
 
 
 def load(env: Mapping[str, str] = os.environ) -> Config:
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -11,6 +11,8 @@
 from collections import Counter
 from typing import Any
 
+from twisted.internet.error import CannotListenError
+
 from .. import interface as t
 from .. import logs
 from ..brain import Gateway as Decisions
@@ -99,17 +101,28 @@
         self.reactor.callLater(REPORT_EVERY, self.report)
 
     def hear(self) -> None:
-        """Take the peers' datagrams."""
-        if self.config.peer_listen:
-            host, port = self.config.peer_listen
+        """Take the peers' datagrams. Beside the process it replaces, that one has the port until it ends."""
+        if not self.config.peer_listen:
+            return
+        host, port = self.config.peer_listen
+        try:
             self.reactor.listenUDP(port, self.peering, interface=host, maxPacketSize=1024)
+        except CannotListenError:
+            if self.config.inherited is None:
+                raise
+            count("peer_port_taken")
+            self.reactor.callLater(SWEEP_EVERY, self.hear)
 
     def open(self) -> None:
-        """Let clients in; from here on PING is answered."""
+        """Let clients in; from here on PING is answered. A listening socket handed down is taken as it is."""
         if not self.started and not self.draining:
             self.started = True
-            self.port = channel.listen(self.reactor, self.config.listen, self)
-            logs.event("serving", name=self.config.name, at=text_of(self.config.listen))
+            if self.config.inherited is not None:
+                self.port = channel.adopt(self.reactor, self.config.inherited, self)
+            else:
+                self.port = channel.listen(self.reactor, self.config.listen, self)
+            logs.event("serving", name=self.config.name, at=text_of(self.config.listen),
+                       inherited=self.config.inherited is not None)
 
     @property
     def ready(self) -> bool:
--- a/tests/test_net_ops.py
+++ b/tests/test_net_ops.py
@@ -208,3 +208,19 @@
 class OpsAddress(Calling, Program):
     """The release build with an operations address."""
 
+
+class Inherited(Program):
+    """A listening socket handed down, as the platform does for an upgrade; its address is bound already."""
+
+    build = ("-O",)
+
+    def test_the_socket_handed_down_is_served_and_its_address_not_bound_again(self):
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        self.fds = (listener.fileno(),)
+        self.more_env = {"RELAY_INHERITED_FD": str(listener.fileno())}
+        self.start(config={"listen": f"127.0.0.1:{listener.getsockname()[1]}"}, a={})
+        client = self.client()
+        self.ask(client)
+        self.world.next().conn.send(served())
+        self.assertEqual(client.read(), [b"v"])
