Log the held-out file that can't be read or written, with its path and the reason

Cause: reading the change again, a bad held-out file was only counted; the rule on bad input asks for a clear error that names the place. Change: held_out_unreadable and held_out_not_saved are log events with the file and the error, beside the counts.

--- a/corkdeal/logs/events.py
+++ b/corkdeal/logs/events.py
@@ -17,6 +17,8 @@
     "standby": (INFO, "PING says no, channels close as they fall idle: open, channels"),
     "active": (INFO, "standby ended on the operators' word; channels stay open again"),
     "held_out": (INFO, "a backend is held out by hand, whatever the list says: server, new"),
+    "held_out_unreadable": (WARN, "the held-out file can't be read; nothing is held out: file, error"),
+    "held_out_not_saved": (WARN, "the held-out file can't be written; the next lacks it: file, error"),
     "let_back": (INFO, "a backend held out by hand is let back, as a cold one: server, new"),
     "counts": (INFO, "every count that is not 0, where one changed"),
     "module_failed": (ERROR, "the decisions raised; the RPCs of these events are failed: events, trace"),
--- a/corkdeal/net/handheld.py
+++ b/corkdeal/net/handheld.py
@@ -17,6 +17,7 @@
 import orjson
 
 from .. import interface as t
+from .. import logs
 from .invariants import count
 
 FORMAT = 1  # of the file; one of another form is not read, and the gateway holds nothing out
@@ -43,8 +44,9 @@
             self.out, self.back = set(out), back
         except FileNotFoundError:
             return
-        except (OSError, ValueError, TypeError, KeyError, AttributeError):
+        except (OSError, ValueError, TypeError, KeyError, AttributeError) as error:
             count("held_out_unreadable")
+            logs.event("held_out_unreadable", file=self.path, error=f"{type(error).__name__}: {error}"[:200])
 
     def save(self) -> None:
         """Hand the set on; a folder that can't be written costs the next process the set, not this one."""
@@ -53,8 +55,9 @@
             with open(part, "wb") as file:
                 file.write(orjson.dumps({"format": FORMAT, "out": sorted(self.out), "back": self.back}))
             os.replace(part, self.path)
-        except OSError:
+        except OSError as error:
             count("held_out_not_saved")
+            logs.event("held_out_not_saved", file=self.path, error=str(error)[:200])
 
     def enter(self, server: str) -> bool:
         """Hold it out; whether that is news."""
--- a/tests/test_net_ops.py
+++ b/tests/test_net_ops.py
@@ -8,6 +8,7 @@
 from twisted.web.test.requesthelper import DummyRequest
 
 from corkdeal import interface as t
+from corkdeal import logs
 from corkdeal.net import handheld, ops
 from corkdeal.net.invariants import counts
 
@@ -86,9 +87,14 @@
     assert other.out == set()
     with open(other.path, "wb") as file:  # a file that can't be read holds nothing out, and is counted
         file.write(b'{"format":1,"out":[3],"back":{}}')
-    before = counts["held_out_unreadable"]
-    other.load()
+    before, lines = counts["held_out_unreadable"], []
+    logs.configure(lambda level, name, pairs: lines.append((name, pairs["file"])))
+    try:
+        other.load()
+    finally:
+        logs.configure(None)
     assert other.out == set() and counts["held_out_unreadable"] == before + 1
+    assert lines == [("held_out_unreadable", other.path)]  # the line names the file
 
 
 class Calling:
