Move the gateway's timers into a module of their own

Change: net/timers.py holds the heap and the one call of the reactor's; the gateway is told what is due. Behaviour unchanged.

--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import heapq
 import math
 import random
 import time
@@ -26,6 +25,7 @@
 from .resp import command, report_of
 from .rpc import RPC, Reader
 from .subchannel import Attempt, Pool, Reply
+from .timers import Timers
 
 START_WAIT = 0.25  # s that a start waits for discovery's first word before it goes by `known`
 STAY_UP = 0.5  # s after SIGTERM that new connections are taken; they keep coming for 0.4
@@ -56,10 +56,7 @@
         self.out: dict[tuple[int, int], Attempt] = {}
         self.events: list[t.Event] = []
         self.busy = False
-        self.timers: list[tuple[float, int, Any]] = []  # due, order, and a token or an attempt
-        self.timer_number = 0
-        self.wake: Any = None
-        self.wake_at = math.inf
+        self.timers = Timers(reactor, self.now, self.due)
         self.port: Any = None
         self.started = self.draining = self.ending = False
         self.before_end: list[Any] = []  # whose `stop(done)` is called after the last answer
@@ -283,7 +280,7 @@
                             self.fail(t.Fail(rpc.request.id))
         finally:
             self.busy = False
-        self.arm()
+        self.timers.arm()
 
     def orphans(self, events: list[t.Event]) -> list[t.Action]:
         """Failures for the RPCs that these events were about, as far as none of them was sent just now."""
@@ -351,38 +348,18 @@
                 self.pool.told(server, False, self.pool.addresses[server])
         self.pump()
 
-    # Timers: one heap and one call of the reactor's for all of them
-
-    def at(self, due: float, what: Any) -> None:
+    def timer(self, due: float, what: int | Attempt) -> None:
         """Have a token announced, or an attempt ended, at a time."""
-        self.timer_number += 1
-        heapq.heappush(self.timers, (due, self.timer_number, what))
+        self.timers.at(due, what)
         if not self.busy:
-            self.arm()
-
-    def arm(self) -> None:
-        """Wake for the earliest timer; attempts that are over need none."""
-        timers = self.timers
-        while timers and type(timers[0][2]) is Attempt and timers[0][2].over:
-            heapq.heappop(timers)
-        if timers and timers[0][0] < self.wake_at:
-            if self.wake is not None:
-                self.wake.cancel()
-            self.wake_at = timers[0][0]
-            self.wake = self.reactor.callLater(max(0.0, self.wake_at - self.now()), self.ring)
-
-    def ring(self) -> None:
-        """Tell all that is due, in one call of the module."""
-        self.wake, self.wake_at, now = None, math.inf, self.now()
-        tokens, late = [], []
-        while self.timers and self.timers[0][0] <= now:
-            what = heapq.heappop(self.timers)[2]
-            (late if type(what) is Attempt else tokens).append(what)
+            self.timers.arm()
+
+    def due(self, tokens: list[int], late: list[Attempt]) -> None:
+        """Timers ran out: the module hears of its own in one call, and attempts end."""
         self.events += [t.TimerDue(token) for token in tokens]
         self.pump()
         for attempt in late:
             self.pool.give_up(attempt, t.Status.TIMEOUT)
-        self.arm()
 
     # Actions
 
@@ -405,7 +382,7 @@
         self.out[a.id, attempt.number] = rpc.attempt = attempt
         rpc.attempts += 1
         self.tally["backend_calls"] += 1
-        self.at(until, attempt)
+        self.timer(until, attempt)
         self.pool.send(attempt)
 
     def refuse(self, a: t.Refuse) -> None:
@@ -426,13 +403,13 @@
 
     def set_timer(self, a: t.SetTimer) -> None:
         """A timer of the module's."""
-        self.at(self.now() + a.delay, a.token)
+        self.timer(self.now() + a.delay, a.token)
 
     def probe(self, a: t.Probe) -> None:
         """Ask a backend for its load."""
         now = self.now()
         attempt = Attempt(None, 0, a.server, now, now + PROBE_TIMEOUT, [command(b"INFO", b"load")])
-        self.at(attempt.until, attempt)
+        self.timer(attempt.until, attempt)
         self.pool.send(attempt)
 
     def close_idle(self, a: t.CloseIdle) -> None:
