Move the listed backends under the operators' word into a module of their own

Change: net/backends.py follows resolver results and tells the decisions and the pool; behaviour unchanged.

--- /dev/null
+++ b/corkdeal/net/backends.py
@@ -0,0 +1,68 @@
+"""The backends as discovery lists them, under the operators' word: what the decisions and the pool are told.
+
+A backend held out by hand is told as draining, whatever the list says, and one let back as just started.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from .. import interface as t
+from .handheld import Handheld
+from .resolver import ResolverResult
+from .subchannel import Pool
+
+
+class Backends:
+    """The resolver result as it stands.
+
+    `lead` puts an event into the decisions' next batch, and `pump` has that batch taken. The list is told
+    before the pool ends anything, so it leads its batch, and nothing is sent again to what drains.
+    """
+
+    def __init__(self, pool: Pool, handheld: Handheld | None, lead: Callable[[t.Event], None],
+                 pump: Callable[[], None]) -> None:
+        self.pool, self.handheld, self.lead, self.pump = pool, handheld, lead, pump
+        self.listed: dict[str, t.ServerEntry] = {}
+        self.at: dict[str, tuple[str, int]] = {}
+        self.revision = 0
+
+    def take(self, result: ResolverResult, kind: t.ListKind) -> None:
+        """Follow a resolver result."""
+        if kind is not t.ListKind.DELTA:
+            self.listed, self.at = {}, {}
+        for entry in result.entries:
+            if entry.state is t.ServerState.GONE:
+                self.listed.pop(entry.server, None)
+                self.at.pop(entry.server, None)
+            else:
+                self.listed[entry.server] = entry
+                self.at[entry.server] = result.addresses[entry.server]
+        self.revision = result.revision
+        entries = self.handheld.overlay(result.entries) if self.handheld else result.entries
+        self.lead(t.ServerList(kind, entries, result.revision))
+        for entry in entries:
+            self.pool.told(entry.server, entry.state is t.ServerState.READY, result.addresses[entry.server])
+        if kind is t.ListKind.FULL:
+            for server in self.pool.addresses.keys() - result.addresses.keys():
+                self.pool.told(server, False, self.pool.addresses[server])
+        self.pump()
+
+    def retell(self, server: str) -> None:
+        """Tell one listed backend anew, under the operators' word."""
+        if server not in self.listed or self.handheld is None:
+            return
+        entry = self.handheld.entry(self.listed[server])
+        self.lead(t.ServerList(t.ListKind.DELTA, (entry,), self.revision))
+        self.pool.told(server, entry.state is t.ServerState.READY, self.at[server])
+        self.pump()
+
+    def known(self, server: str) -> bool:
+        """Whether there is a backend of that id: the list names it, or it is held out."""
+        return server in self.listed or (self.handheld is not None and server in self.handheld.out)
+
+    def counts(self) -> tuple[int, int]:
+        """How many are listed, and how many of them are not ready or held out by hand."""
+        held = self.handheld.out if self.handheld else set()
+        down = sum(1 for e in self.listed.values() if e.state is not t.ServerState.READY or e.server in held)
+        return len(self.listed), down
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -16,6 +16,7 @@
 from .. import logs
 from ..brain import Gateway as Decisions
 from . import channel, invariants
+from .backends import Backends
 from .config import Config, ConfigError, load, text_of
 from .descriptors import Descriptors
 from .handheld import Handheld
@@ -62,14 +63,12 @@
         self.before_end: list[Any] = []  # whose `stop(done)` is called after the last answer
         self.reported = ""
         self.tally: Counter[str] = Counter()  # answers by kind, attempts and reloads: the operators' figures
-        self.listed: dict[str, t.ServerEntry] = {}  # the resolver result as discovery gave it
-        self.listed_at: dict[str, tuple[str, int]] = {}
-        self.revision = 0
         self.standby = False  # on the operators' word: PING turns and channels close as they fall idle
         self.ops_port: Any = None
         self.handheld = Handheld(config.name) if config.ops else None
         if self.handheld:
             self.handheld.load()
+        self.backends = Backends(self.pool, self.handheld, lambda event: self.events.append(event), self.pump)
         self.act = {t.Send: self.send, t.Refuse: self.refuse, t.Fail: self.fail, t.Cancel: self.cancel,
                     t.SetTimer: self.set_timer, t.Probe: self.probe, t.CloseIdle: self.close_idle,
                     t.Tell: self.tell, t.Log: self.write_log, t.Subscribe: self.subscribe,
@@ -85,7 +84,7 @@
         """Begin with the list last known; clients are let in once discovery has spoken, or soon anyway."""
         known = self.config.known
         if known:
-            self.take_list(known, t.ListKind.CACHED)
+            self.backends.take(known, t.ListKind.CACHED)
         else:
             self.feed(t.ServerList(t.ListKind.CACHED))
         if self.config.ops:
@@ -133,10 +132,9 @@
 
     def figures(self) -> dict[str, int]:
         """The operators' figures: answers by kind since the start, and the backends as listed now."""
-        held = self.handheld.out if self.handheld else set()
-        down = sum(1 for e in self.listed.values() if e.state is not t.ServerState.READY or e.server in held)
+        listed, down = self.backends.counts()
         tally = {k: self.tally[k] for k in ("success", "busy", "failure", "backend_calls")}
-        return {**tally, "inflight": len(self.rpcs), "hosts_listed": len(self.listed), "hosts_down": down,
+        return {**tally, "inflight": len(self.rpcs), "hosts_listed": listed, "hosts_down": down,
                 "reconfig_ok": self.tally["reconfig_ok"], "reconfig_failed": self.tally["reconfig_failed"]}
 
     def stand_by(self) -> bool:
@@ -160,32 +158,23 @@
     def hold_out(self, server: str) -> bool | None:
         """Send that backend nothing new, whatever the list says; None for an id that nobody has."""
         assert self.handheld is not None
-        if server not in self.listed and server not in self.handheld.out:
+        if not self.backends.known(server):
             return None
         new = self.handheld.enter(server)
         logs.event("held_out", server=server, new=new)
-        self.retell(server)
+        self.backends.retell(server)
         return new
 
     def let_back(self, server: str) -> bool | None:
         """Take that backend back, as one just started; None for an id that nobody has."""
         assert self.handheld is not None
-        if server not in self.listed and server not in self.handheld.out:
+        if not self.backends.known(server):
             return None
         back = self.handheld.exit(server, self.now())
         logs.event("let_back", server=server, new=back)
-        self.retell(server)
+        self.backends.retell(server)
         return back
 
-    def retell(self, server: str) -> None:
-        """Tell the decisions and the pool one listed backend anew, under the operators' word."""
-        if server not in self.listed or self.handheld is None:
-            return
-        entry = self.handheld.entry(self.listed[server])
-        self.events.append(t.ServerList(t.ListKind.DELTA, (entry,), self.revision))
-        self.pool.told(server, entry.state is t.ServerState.READY, self.listed_at[server])
-        self.pump()
-
     def watch_at(self, at: tuple[str, int], held: ResolverResult | None = None) -> Watch:
         """A watch of the discovery at that address; without a list held it asks for the whole one."""
         return Watch(self.reactor, at, self.settings, self.told, held, random.Random(self.config.seed))
@@ -322,32 +311,9 @@
 
     def told(self, result: ResolverResult) -> None:
         """Discovery's word."""
-        self.take_list(result, t.ListKind.FULL if result.complete else t.ListKind.DELTA)
+        self.backends.take(result, t.ListKind.FULL if result.complete else t.ListKind.DELTA)
         self.open()
 
-    def take_list(self, result: ResolverResult, kind: t.ListKind) -> None:
-        """Follow a resolver result: the list leads its batch, so nothing is sent again to what drains."""
-        entries = result.entries
-        if kind is not t.ListKind.DELTA:
-            self.listed, self.listed_at = {}, {}
-        for entry in entries:
-            if entry.state is t.ServerState.GONE:
-                self.listed.pop(entry.server, None)
-                self.listed_at.pop(entry.server, None)
-            else:
-                self.listed[entry.server] = entry
-                self.listed_at[entry.server] = result.addresses[entry.server]
-        self.revision = result.revision
-        if self.handheld:
-            entries = self.handheld.overlay(entries)
-        self.events.append(t.ServerList(kind, entries, result.revision))
-        for entry in entries:
-            self.pool.told(entry.server, entry.state is t.ServerState.READY, result.addresses[entry.server])
-        if kind is t.ListKind.FULL:
-            for server in self.pool.addresses.keys() - result.addresses.keys():
-                self.pool.told(server, False, self.pool.addresses[server])
-        self.pump()
-
     def timer(self, due: float, what: int | Attempt) -> None:
         """Have a token announced, or an attempt ended, at a time."""
         self.timers.at(due, what)
