Move the operators' figures and calls into a module of their own

Change: net/operators.py holds state, figures, standby and backends out by hand; ops.py speaks HTTP for it. Behaviour unchanged.

--- a/corkdeal/net/channel.py
+++ b/corkdeal/net/channel.py
@@ -59,7 +59,7 @@
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)  # a client that reads no answers is not read either
         self.gateway.channels.add(self)
-        self.closing = self.gateway.standby  # served, then closed: the front sends no more of them soon
+        self.closing = self.gateway.operators.standby  # served, then closed: no more come soon
         if not self.gateway.descriptors.for_channel():
             count("channel_refused")
             self.turn_away(b"-ERR max number of clients reached\r\n")
@@ -106,7 +106,7 @@
                 self.pauseProducing()
             self.gateway.take(rpc)
         elif name == b"PING" and len(frame.items) == 2:
-            self.ready(STANDBY if self.gateway.standby else b"+PONG\r\n")
+            self.ready(STANDBY if self.gateway.operators.standby else b"+PONG\r\n")
         elif name in (b"PING", b"ECHO") and len(frame.items) == 3:
             self.ready(b"$%d\r\n%b\r\n" % (frame.items[2].size, frame.text(2)))
         elif name in (b"CLIENT", b"SELECT"):
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -7,7 +7,6 @@
 import random
 import time
 import traceback
-from collections import Counter
 from typing import Any
 
 from twisted.internet.error import CannotListenError
@@ -21,6 +20,7 @@
 from .descriptors import Descriptors
 from .handheld import Handheld
 from .invariants import count, holds
+from .operators import Operators
 from .peering import Peering
 from .resolver import ResolverResult, Watch
 from .resp import command, report_of
@@ -62,13 +62,13 @@
         self.started = self.draining = self.ending = False
         self.before_end: list[Any] = []  # whose `stop(done)` is called after the last answer
         self.reported = ""
-        self.tally: Counter[str] = Counter()  # answers by kind, attempts and reloads: the operators' figures
-        self.standby = False  # on the operators' word: PING turns and channels close as they fall idle
         self.ops_port: Any = None
-        self.handheld = Handheld(config.name) if config.ops else None
-        if self.handheld:
-            self.handheld.load()
-        self.backends = Backends(self.pool, self.handheld, lambda event: self.events.append(event), self.pump)
+        handheld = Handheld(config.name) if config.ops else None
+        if handheld:
+            handheld.load()
+        self.backends = Backends(self.pool, handheld, lambda event: self.events.append(event), self.pump)
+        self.operators = Operators(self, self.backends)
+        self.tally = self.operators.tally
         self.act = {t.Send: self.send, t.Refuse: self.refuse, t.Fail: self.fail, t.Cancel: self.cancel,
                     t.SetTimer: self.set_timer, t.Probe: self.probe, t.CloseIdle: self.close_idle,
                     t.Tell: self.tell, t.Log: self.write_log, t.Subscribe: self.subscribe,
@@ -89,7 +89,7 @@
             self.feed(t.ServerList(t.ListKind.CACHED))
         if self.config.ops:
             from . import ops
-            self.ops_port = ops.listen(self.reactor, self.config.ops, self)
+            self.ops_port = ops.listen(self.reactor, self.config.ops, self.operators)
         self.hear()
         self.watch.run()
         self.reactor.callLater(START_WAIT, self.open)
@@ -120,61 +120,6 @@
             logs.event("serving", name=self.config.name, at=text_of(self.config.listen),
                        inherited=self.config.inherited is not None)
 
-    @property
-    def ready(self) -> bool:
-        """Whether this process wants new clients: it serves, and neither drains nor stands by."""
-        return self.started and not (self.draining or self.standby)
-
-    def state(self) -> str:
-        """In a word, for the operations address."""
-        return ("ending" if self.draining else "standby" if self.standby else "serving" if self.started
-                else "starting")
-
-    def figures(self) -> dict[str, int]:
-        """The operators' figures: answers by kind since the start, and the backends as listed now."""
-        listed, down = self.backends.counts()
-        tally = {k: self.tally[k] for k in ("success", "busy", "failure", "backend_calls")}
-        return {**tally, "inflight": len(self.rpcs), "hosts_listed": listed, "hosts_down": down,
-                "reconfig_ok": self.tally["reconfig_ok"], "reconfig_failed": self.tally["reconfig_failed"]}
-
-    def stand_by(self) -> bool:
-        """Drain without ending: PING says no, channels close as they fall idle. Whether that is news."""
-        if self.standby:
-            return False
-        self.standby = True
-        logs.event("standby", open=len(self.rpcs), channels=len(self.channels))
-        for each in list(self.channels):
-            each.close_when_idle()
-        return True
-
-    def stand_up(self) -> bool:
-        """End a standby; new channels stay open again. Whether that is news."""
-        if not self.standby:
-            return False
-        self.standby = False
-        logs.event("active")
-        return True
-
-    def hold_out(self, server: str) -> bool | None:
-        """Send that backend nothing new, whatever the list says; None for an id that nobody has."""
-        assert self.handheld is not None
-        if not self.backends.known(server):
-            return None
-        new = self.handheld.enter(server)
-        logs.event("held_out", server=server, new=new)
-        self.backends.retell(server)
-        return new
-
-    def let_back(self, server: str) -> bool | None:
-        """Take that backend back, as one just started; None for an id that nobody has."""
-        assert self.handheld is not None
-        if not self.backends.known(server):
-            return None
-        back = self.handheld.exit(server, self.now())
-        logs.event("let_back", server=server, new=back)
-        self.backends.retell(server)
-        return back
-
     def watch_at(self, at: tuple[str, int], held: ResolverResult | None = None) -> Watch:
         """A watch of the discovery at that address; without a list held it asks for the whole one."""
         return Watch(self.reactor, at, self.settings, self.told, held, random.Random(self.config.seed))
--- /dev/null
+++ b/corkdeal/net/operators.py
@@ -0,0 +1,76 @@
+"""What operators ask of a gateway and tell it: state, figures, standby, backends out by hand.
+
+`ops.py` speaks HTTP for it; nothing here waits for anything.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+from .. import logs
+from .backends import Backends
+
+
+class Operators:
+    """The operators' word on one gateway, and the figures they read."""
+
+    def __init__(self, gateway: Any, backends: Backends) -> None:
+        self.gateway, self.backends, self.handheld = gateway, backends, backends.handheld
+        self.standby = False  # PING turns and channels close as they fall idle
+        self.tally: Counter[str] = Counter()  # answers by kind, attempts and reloads
+
+    @property
+    def ready(self) -> bool:
+        """Whether this process wants new clients: it serves, and neither drains nor stands by."""
+        return self.gateway.started and not (self.gateway.draining or self.standby)
+
+    def state(self) -> str:
+        """In a word."""
+        return ("ending" if self.gateway.draining else "standby" if self.standby
+                else "serving" if self.gateway.started else "starting")
+
+    def figures(self) -> dict[str, int]:
+        """Answers by kind since the start, and the backends as listed now."""
+        listed, down = self.backends.counts()
+        tally = {k: self.tally[k] for k in ("success", "busy", "failure", "backend_calls")}
+        return {**tally, "inflight": len(self.gateway.rpcs), "hosts_listed": listed, "hosts_down": down,
+                "reconfig_ok": self.tally["reconfig_ok"], "reconfig_failed": self.tally["reconfig_failed"]}
+
+    def stand_by(self) -> bool:
+        """Drain without ending: PING says no, channels close as they fall idle. Whether that is news."""
+        if self.standby:
+            return False
+        self.standby = True
+        logs.event("standby", open=len(self.gateway.rpcs), channels=len(self.gateway.channels))
+        for each in list(self.gateway.channels):
+            each.close_when_idle()
+        return True
+
+    def stand_up(self) -> bool:
+        """End a standby; new channels stay open again. Whether that is news."""
+        if not self.standby:
+            return False
+        self.standby = False
+        logs.event("active")
+        return True
+
+    def hold_out(self, server: str) -> bool | None:
+        """Send that backend nothing new, whatever the list says; None for an id that nobody has."""
+        assert self.handheld is not None
+        if not self.backends.known(server):
+            return None
+        new = self.handheld.enter(server)
+        logs.event("held_out", server=server, new=new)
+        self.backends.retell(server)
+        return new
+
+    def let_back(self, server: str) -> bool | None:
+        """Take that backend back, as one just started; None for an id that nobody has."""
+        assert self.handheld is not None
+        if not self.backends.known(server):
+            return None
+        back = self.handheld.exit(server, self.gateway.now())
+        logs.event("let_back", server=server, new=back)
+        self.backends.retell(server)
+        return back
--- a/corkdeal/net/ops.py
+++ b/corkdeal/net/ops.py
@@ -45,9 +45,9 @@
 
     isLeaf = True
 
-    def __init__(self, gateway: Any) -> None:
+    def __init__(self, operators: Any) -> None:
         super().__init__()
-        self.gateway = gateway
+        self.operators = operators
 
     def path(self, request: Any) -> list[str]:
         """The path's parts, decoded; an empty part at the end is no part."""
@@ -65,24 +65,24 @@
         """Status and figures."""
         parts = self.path(request)
         if parts == ["status"]:
-            ready = self.gateway.ready
+            ready = self.operators.ready
             return reply(request, 200 if ready else 503, {"word": "YES" if ready else "NO",
-                                                          "state": self.gateway.state()})
+                                                          "state": self.operators.state()})
         if parts == ["status", "metrics"]:
-            return reply(request, 200, {PREFIX + k: v for k, v in self.gateway.figures().items()})
+            return reply(request, 200, {PREFIX + k: v for k, v in self.operators.figures().items()})
         return self.not_here(request, parts, "GET")
 
     def render_PUT(self, request: Any) -> bytes:
         """Maintenance, standby and active."""
-        parts, gateway = self.path(request), self.gateway
+        parts, word = self.path(request), self.operators
         if len(parts) == 3 and parts[0] == "maintenance" and parts[1] in HOLD_CALLS and parts[2]:
-            done = gateway.hold_out(parts[2]) if parts[1] == "enter" else gateway.let_back(parts[2])
+            done = word.hold_out(parts[2]) if parts[1] == "enter" else word.let_back(parts[2])
             if done is None:
                 return reply(request, 404, {"word": "NO", "error": "no backend of that id"})
             return reply(request, 200, {"word": "YES", "id": parts[2], "changed": done})
         if len(parts) == 1 and parts[0] in PUT_CALLS:
-            changed = gateway.stand_by() if parts[0] == "standby" else gateway.stand_up()
-            return reply(request, 200, {"word": "YES", "changed": changed, "state": gateway.state()})
+            changed = word.stand_by() if parts[0] == "standby" else word.stand_up()
+            return reply(request, 200, {"word": "YES", "changed": changed, "state": word.state()})
         return self.not_here(request, parts, "PUT")
 
     def render_HEAD(self, request: Any) -> bytes:
@@ -109,10 +109,10 @@
         """No access log: calls are few and the gateway's own log says what they changed."""
 
 
-def listen(reactor: Any, at: tuple[str, int], gateway: Any) -> Any:
+def listen(reactor: Any, at: tuple[str, int], operators: Any) -> Any:
     """Open the operations address, on this address only."""
     from .. import logs
 
-    port = reactor.listenTCP(at[1], Site(Calls(gateway), timeout=IDLE), interface=at[0])
+    port = reactor.listenTCP(at[1], Site(Calls(operators), timeout=IDLE), interface=at[0])
     logs.event("ops_listening", at=text_of(at))
     return port
