--- a/corkdeal/brain.py
+++ b/corkdeal/brain.py
@@ -345,7 +345,7 @@
 
     def learn(self, server: Server, e: t.Outcome) -> None:
         """Take one outcome, and the report that came along, into the server's record."""
-        _, load = server.out.pop(e.id, (self.now, 0.0))
+        _, load = server.out.pop(e.id, None) or server.giving.pop(e.id, (self.now, 0.0))
         req = self.requests.get(e.id)
         if (held := e.report.get("inflight", e.report.get("queue"))) is not None:
             server.others, server.others_at = max(0.0, held - len(server.out)), self.now
--- a/corkdeal/net/channel.py
+++ b/corkdeal/net/channel.py
@@ -13,6 +13,7 @@
 
 from . import gather
 from .invariants import count, holds
+from .passage import Passage
 from .resp import Frame, Malformed, Parser
 from .rpc import READ, RPC, WRITE, BadRequest
 
@@ -27,6 +28,7 @@
     """An answer that needs no RPC, in its place among the others."""
 
     __slots__ = ("reply",)
+    passage = None
 
     def __init__(self, reply: bytes) -> None:
         self.reply = [reply]
@@ -86,6 +88,8 @@
 
     def command(self, frame: Frame, now: float, begun: float) -> None:
         """One command; what is no request is answered here."""
+        if not frame.last:
+            raise Malformed("value too long")
         if not frame.is_command():
             raise Malformed("expected an array of bulk strings")
         self.spoke = True
@@ -103,7 +107,7 @@
             self.waiting.append(rpc)
             if len(self.waiting) >= MOST_WAITING and not self.held:
                 self.held = True
-                self.pauseProducing()
+                super().pauseProducing()
             self.gateway.take(rpc)
         elif name == b"PING" and len(frame.items) == 2:
             self.ready(STANDBY if self.gateway.operators.standby else b"+PONG\r\n")
@@ -127,15 +131,42 @@
             rpc.reply = reply
             self.flush()
 
+    def pass_on(self, rpc: RPC, passage: Passage) -> None:
+        """The one final answer of an RPC, yet to come whole; behind others its passage has to wait."""
+        if holds(rpc.reply is None, "second_answer"):
+            rpc.passage, rpc.reply = passage, [passage.head]
+            if rpc is not self.waiting[0]:
+                passage.pause()
+            self.flush()
+
+    def passed(self, rpc: RPC) -> None:
+        """More of an answer has come."""
+        if self.waiting and rpc is self.waiting[0]:
+            self.flush()
+
+    def unsent(self, rpc: RPC) -> int | None:
+        """Bytes that the client has not taken yet, if this RPC's answer is being written."""
+        if not self.waiting or rpc is not self.waiting[0]:
+            return None
+        return len(self.transport.dataBuffer) - self.transport.offset + self.transport._tempDataLen
+
     def flush(self) -> None:
         """Write what is ready in order, by one gathered write; close where nothing is left to do."""
         if self.reading:
             return
         parts: list[gather.Part] = []
-        while self.waiting and self.waiting[0].reply is not None:
-            parts += self.waiting.popleft().reply
+        passage = None
+        while self.waiting and (reply := self.waiting[0].reply) is not None:
+            parts += reply
+            if (passage := self.waiting[0].passage) is not None and not passage.ended:
+                self.waiting[0].reply = []
+                break
+            passage = None
+            self.waiting.popleft()
         if parts and self.transport.connected:
             gather.write(self.transport, parts)
+        if passage is not None and not self.transport.producerPaused:
+            passage.resume()
         if self.held and len(self.waiting) < MOST_WAITING // 2:
             self.held = False
             if not self.transport.producerPaused and not self.refused:
@@ -153,6 +184,30 @@
             elif (self.closing and not self.parser.midway) or self.half_closed:
                 self.end()  # half a command is waited for; the sweep bounds that wait
 
+    def pauseProducing(self) -> None:
+        """The client does not take what is written: it is not read on, and neither is who answers it."""
+        super().pauseProducing()
+        if self.waiting and self.waiting[0].passage is not None:
+            self.waiting[0].passage.pause()
+
+    def resumeProducing(self) -> None:
+        """All is written."""
+        if not self.held:
+            super().resumeProducing()
+        if self.waiting and self.waiting[0].passage is not None:
+            self.waiting[0].passage.resume()
+
+    def cut(self) -> None:
+        """An answer that was begun can't be finished: end here, so that its client can tell.
+
+        Nothing may be written behind it, for the client would take that for the rest.
+        """
+        count("answer_cut_off")
+        self.refused = self.ended = True
+        self.leave()
+        self.end()
+        self.gateway.reactor.callLater(LINGER, self.transport.abortConnection)
+
     def end(self) -> None:
         """Close once all is written. A transport with a paused producer would wait for it for ever."""
         self.transport.unregisterProducer()
@@ -193,11 +248,17 @@
     def connectionLost(self, reason: Any = None) -> None:
         """The client has gone away: nobody waits for what it asked."""
         self.gateway.channels.discard(self)
+        self.leave()
+        self.gateway.channel_ended()
+
+    def leave(self) -> None:
+        """Nobody waits any more for what is open here."""
         waiting, self.waiting = self.waiting, deque()
         for rpc in waiting:
-            if isinstance(rpc, RPC) and rpc.reply is None:
+            if rpc.passage is not None:
+                rpc.passage.client_gone()
+            elif rpc.reply is None:
                 self.gateway.gone(rpc)
-        self.gateway.channel_ended()
 
 
 class Channels(ServerFactory):
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -21,6 +21,7 @@
 from .handheld import Handheld
 from .invariants import count, holds
 from .operators import Operators
+from .passage import Passage
 from .peering import Peering
 from .resolver import ResolverResult, Watch
 from .resp import command, report_of
@@ -48,7 +49,7 @@
         self.channels: set[channel.Channel] = set()
         self.descriptors = Descriptors(config.sockets, self.channels, self.now)
         self.pool = Pool(reactor, self.settings, config.sockets // 2, self.now, self.finished,
-                         self.descriptors.for_subchannel)
+                         self.descriptors.for_subchannel, self.passing)
         self.descriptors.pool = self.pool
         self.peering = Peering(self.settings.me, config.peers, config.peers_all, self.heard)
         self.watch = self.watch_at(config.discovery, config.known)
@@ -229,15 +230,14 @@
 
     def gone(self, rpc: RPC) -> None:
         """Its client has gone away."""
-        if not rpc.done:
-            rpc.done = True
-            self.reader.open.discard(rpc.id)
-            del self.rpcs[rpc.request.id]
+        if self.settle(rpc.request.id) is not None:
             self.feed(t.ClientGone(rpc.request.id))
 
     def finished(self, attempt: Attempt, reply: Reply) -> None:
         """An attempt ended; a value is passed on before the module hears of it."""
-        elapsed, rpc = max(0.0, self.now() - attempt.sent_at), attempt.rpc
+        elapsed, rpc = attempt.first, attempt.rpc
+        if elapsed is None:
+            elapsed = max(0.0, self.now() - attempt.sent_at)
         report = report_of(reply.report, self.report_names) if reply.report else {}
         if rpc is None:
             return self.feed(t.ProbeResult(attempt.server, reply.status, elapsed, report))
@@ -250,6 +250,19 @@
         self.feed(t.Outcome(rid, attempt.number, attempt.server, reply.status, elapsed, rpc.done,
                             report=report))
 
+    def passing(self, attempt: Attempt, passage: Passage) -> bool:
+        """The first bytes of a long answer: it is the final one. Whether somebody waits for it.
+
+        The decisions are told the time up to here. What a slow reader adds says nothing of the backend.
+        """
+        if (rpc := self.settle(attempt.rpc.request.id)) is None:
+            return False
+        attempt.first = max(0.0, self.now() - attempt.sent_at)
+        self.tally["success"] += 1
+        rpc.channel.pass_on(rpc, passage)
+        self.feed(t.StreamStarted(rpc.request.id, attempt.number, attempt.server, attempt.first))
+        return True
+
     def heard(self, peer: int, payload: bytes) -> None:
         """A peer's datagram."""
         self.feed(t.PeerMessage(peer, payload))
@@ -270,17 +283,22 @@
         self.events += [t.TimerDue(token) for token in tokens]
         self.pump()
         for attempt in late:
-            self.pool.give_up(attempt, t.Status.TIMEOUT)
+            if attempt.first is None:  # an answer that has begun is waited for
+                self.pool.give_up(attempt, t.Status.TIMEOUT)
 
     # Actions
 
     def answer(self, rid: int, reply: list[Any]) -> None:
         """The one final answer; what has one already, or whose client is gone, gets none."""
-        rpc = self.rpcs.pop(rid, None)
-        if rpc is not None:
+        if (rpc := self.settle(rid)) is not None:
+            rpc.channel.answer(rpc, reply)
+
+    def settle(self, rid: int) -> RPC | None:
+        """Take an RPC off the books, for its final answer; None for one that is off them."""
+        if (rpc := self.rpcs.pop(rid, None)) is not None:
             rpc.done = True
             self.reader.open.discard(rpc.id)
-            rpc.channel.answer(rpc, reply)
+        return rpc
 
     def send(self, a: t.Send) -> None:
         """Start an attempt; it ends with the client's patience at the latest."""
--- a/corkdeal/net/rpc.py
+++ b/corkdeal/net/rpc.py
@@ -42,7 +42,8 @@
     attempt: Any = None  # the attempt that is out
     attempts: int = 0
     done: bool = False  # answered, or nobody waits for it
-    reply: list[Any] | None = None  # the answer while it waits for those before it
+    reply: list[Any] | None = None  # the answer, or what has come of it, while it waits for those before it
+    passage: Any = None  # what passes on an answer with a long value
 
     def parts(self, wait: float) -> list[bytes | memoryview]:
         """The command for a subchannel: all as it came, but `d` says how long this gateway waits."""
--- a/corkdeal/net/subchannel.py
+++ b/corkdeal/net/subchannel.py
@@ -12,15 +12,16 @@
 
 from .. import interface as t
 from . import gather
+from .answers import Reply, check_head, read_probe, read_reply
 from .invariants import count, holds
-from .resp import ARRAY, BULK, ERROR, SIMPLE, UNKNOWN, Frame, Item, Malformed, Parser
+from .passage import Passage
+from .resp import Frame, Malformed, Parser
 from .rpc import RPC
 
 IDLE_PART = 0.8  # of the idle limit; a backend closes "at the latest" then, and a crossing send is a reset
 SETTLE = 0.005  # s that a connection rests after an answer: what comes behind it must not answer the next RPC
 REPLY_STALL, REPLY_LATE = 0.1, 0.3  # s without another byte of an answer, and from its first to its last
 CONNECT_PART = 0.25  # of the shortest aim, after which a connection that is not up is given up
-REPLY_ITEMS = 3  # the value, the figures on use, the load report
 
 
 @dataclass(slots=True, eq=False)
@@ -35,61 +36,7 @@
     parts: list[gather.Part]
     conn: Subchannel | None = None
     over: bool = False
-
-
-@dataclass(slots=True)
-class Reply:
-    """What a backend answered: an outcome, and where its value and its report lie."""
-
-    status: t.Status
-    value: memoryview | None = None
-    report: bytes = b""
-
-
-def past(items: list[Item], i: int) -> int:
-    """Index of the item behind this one, nested items passed over."""
-    left = 1
-    while left and i < len(items):
-        left += max(0, items[i].size) - 1 if items[i].kind == ARRAY else -1
-        i += 1
-    return i
-
-
-def check_head(kind: int, size: int) -> None:
-    """An answer begins as an array of three or as an error line; anything else need not be waited for."""
-    if kind != ERROR and (kind != ARRAY or size not in (REPLY_ITEMS, UNKNOWN)):
-        raise Malformed("no answer to a request")
-
-
-def read_reply(frame: Frame) -> Reply:
-    """The outcome that a backend's answer stands for; what has no form that it may have is malformed.
-
-    Only the value has to be sound: figures on use have no reader here, and an odd report is none.
-    """
-    top, items = frame.items[0], frame.items
-    check_head(top.kind, top.size)
-    if top.kind == ARRAY:
-        stop = past(items, 1)
-        first = items[2] if items[1].kind == ARRAY and items[1].size > 0 else items[1]
-        if first.kind != BULK or first.size < 0:
-            raise Malformed("no value")
-        load = items[past(items, stop)]
-        report = bytes(frame.buf[load.start:load.stop]) if load.kind == BULK else b""
-        return Reply(t.Status.OK, memoryview(frame.buf)[items[1].head:items[stop - 1].end], report)
-    word, _, rest = frame.text(0).partition(b" ")
-    if word == b"BUSY":
-        return Reply(t.Status.FULL, report=rest)
-    if word not in (b"ERR", b"SYNTAX", b"NOPERM"):
-        raise Malformed("unknown error")
-    if word != b"ERR":
-        count(f"backend_{word.decode().lower()}")
-    return Reply(t.Status.ERROR, report=rest.rpartition(b" ")[2])
-
-
-def read_probe(frame: Frame) -> Reply:
-    """The outcome of a probe: a report, or any answer that is no error."""
-    ok = frame.items[0].kind in (BULK, SIMPLE) and frame.items[0].size >= 0
-    return Reply(t.Status.OK if ok else t.Status.ERROR, report=frame.text(0) if ok else b"")
+    first: float | None = None  # s from sending it to the first byte of a long answer, once that is passed on
 
 
 class Subchannel(LineReceiver):
@@ -101,6 +48,7 @@
         self.pool, self.server, self.parser = pool, server, Parser()
         self.attempt: Attempt | None = attempt
         self.up = self.ended = False
+        self.passage: Passage | None = None  # the long answer that it is giving
         self.idle_since = 0.0
         self.connector: Any = None
         attempt.conn = self
@@ -125,10 +73,14 @@
                 count("subchannel_unasked")
                 self.close()
             return
+        if self.passage is not None:
+            return self.passage.take(data)
         begun = self.parser.midway
         try:
             self.parser.feed(data)
             frame = self.parser.next()
+            if frame and not frame.last:
+                return self.long_answer(self.attempt, frame)
             reply = frame and (read_reply if self.attempt.rpc else read_probe)(frame)
             if not frame and self.attempt.rpc:
                 check_head(*self.parser.head())
@@ -138,17 +90,34 @@
             self.pool.reactor.callLater(REPLY_STALL, self.stalled, self.attempt,
                                         self.pool.now() + REPLY_LATE, len(self.parser.buf))
         if reply:
-            attempt, self.attempt = self.attempt, None
-            if self.parser.midway:
-                count("subchannel_unasked")
-                self.close()
-            else:
-                self.pool.keep(self)
-            self.pool.finish(attempt, reply)
+            self.answered(self.attempt, reply)
+
+    def answered(self, attempt: Attempt, reply: Reply) -> None:
+        """The whole answer has come; the connection is kept unless more than that did."""
+        self.attempt = self.passage = None
+        if self.parser.midway:
+            count("subchannel_unasked")
+            self.close()
+        else:
+            self.pool.keep(self)
+        self.pool.finish(attempt, reply)
+
+    def long_answer(self, attempt: Attempt, frame: Frame) -> None:
+        """An answer has come up to a long value: it is passed on from here, unless nobody waits for it."""
+        if attempt.rpc is None:
+            raise Malformed("no answer to a probe")
+        self.passage = Passage(self, attempt, frame)
+        if self.pool.passing(attempt, self.passage):
+            self.passage.go_on()
+        else:
+            count("answer_for_nobody")
+            self.pool.give_up(attempt, t.Status.CANCELLED)
 
     def stalled(self, attempt: Attempt, until: float, had: int) -> None:
         """Whether an answer that had begun still comes."""
         have = len(self.parser.buf)
+        if attempt.first is not None:
+            return  # it is being passed on, and its passage looks after it
         if not attempt.over and have > had and self.pool.now() < until:
             self.pool.reactor.callLater(REPLY_STALL, self.stalled, attempt, until, have)
         else:
@@ -178,6 +147,8 @@
             return
         self.ended, self.attempt = True, None
         self.pool.forget(self)
+        if self.passage:
+            self.passage.broken()
         if self.up:
             try:
                 self.transport.getHandle().shutdown(socket.SHUT_RDWR)
@@ -193,6 +164,8 @@
             return
         attempt, self.ended, self.attempt = self.attempt, True, None
         self.pool.forget(self)
+        if self.passage:
+            self.passage.broken()
         if attempt:
             whole = self.up and not gather.pending(self.transport)
             self.pool.finish(attempt, Reply(t.Status.RESET if whole else t.Status.CONNECT_FAILED))
@@ -222,12 +195,15 @@
 class Pool:
     """All subchannels, by backend; `finished` hears how each attempt ended, exactly once.
 
-    `room` tells whether the process can spare a descriptor for one more.
+    `passing` hears of the first bytes of a long answer, and tells whether somebody waits for it. `room` tells
+    whether the process can spare a descriptor for one more.
     """
 
     def __init__(self, reactor: Any, settings: t.Settings, most: int, now: Callable[[], float],
-                 finished: Callable[[Attempt, Reply], None], room: Callable[[], bool]) -> None:
+                 finished: Callable[[Attempt, Reply], None], room: Callable[[], bool],
+                 passing: Callable[[Attempt, Passage], bool]) -> None:
         self.reactor, self.most, self.now, self.finished, self.room = reactor, most, now, finished, room
+        self.passing = passing
         aim = min(c.aim for c in settings.classes)
         self.connect_timeout = min(settings.connect_timeout, CONNECT_PART * aim)
         self.idle_limit = settings.conn_idle * IDLE_PART
--- a/corkdeal/plumbing.py
+++ b/corkdeal/plumbing.py
@@ -128,9 +128,17 @@
                 self.untold[key] = self.accounts[key]
 
     def on_stream(self, e: t.StreamStarted) -> None:
-        """A started stream belongs to the client: no deadline, no further answer."""
+        """A started stream belongs to the client: no deadline, no further answer.
+
+        A long answer to a usual request is work done: however slowly it is taken, it loads no server.
+        """
+        server, _ = self.sent.get((e.id, e.attempt), (None, None))
+        if server is not None:
+            server.answered_at = self.now
         if req := self.requests.get(e.id):
             req.streaming = True
+            if server is not None and not req.cls.stream and e.id in server.out:
+                server.giving[e.id] = server.out.pop(e.id)
 
     def on_peer(self, e: t.PeerMessage) -> None:
         """Hand on a neighbour's notes; anything malformed, foreign or stale is dropped."""
--- a/corkdeal/state.py
+++ b/corkdeal/state.py
@@ -14,6 +14,7 @@
 
     entry: t.ServerEntry
     out: dict[int, tuple[float, float]] = field(default_factory=dict)  # request -> (sent at, load met)
+    giving: dict[int, tuple[float, float]] = field(default_factory=dict)  # the same, once answered in part
     slow: float = 1.0  # its latency in terms of what the fleet takes at like load
     failures: int = 0  # failed attempts less answered ones, never below 0
     answered_at: float = 0.0
