Hold long commands in pieces within one memory budget, or refuse them on the head

Need: a command with a value over 64 KiB ended its channel, though values may hold 4 MiB, together far beyond the memory. Change: net/body.py keeps a long command in its pieces until it is whole, and a pull producer writes it as its backend takes it; net/budget.py bounds what all long values keep; early.py refuses on the head what the quota has no room for; the rest is read past and the channel stays. Weighed and not taken: sending on while it comes (a slow client would hold a server's place, nothing could be sent again), a file in the temporary folder (counts as memory). A long answer now waits for its client after each piece, so at most 64 KiB waits here for each. Found by the tests on the way: a malformed byte in a body left its RPC before the error in the channel's line for ever.

--- /dev/null
+++ b/corkdeal/early.py
@@ -0,0 +1,31 @@
+"""Whether a request can be refused on its head alone, before its body has come: the quota's part of that.
+
+The brain decides again once the whole command is there; nothing is spent here. A request refused here
+counts as demand, as one refused there does, so slices still follow it.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from . import interface as t
+from .brain import DEMAND_MEMORY
+
+if TYPE_CHECKING:
+    from .brain import Gateway
+
+
+def refusal(decisions: Gateway, now: float, e: t.Request) -> float | None:
+    """Seconds after which to come again, where the customer's quota has no room for it now; else None."""
+    decisions.now = now
+    a = decisions.account(e.customer, e.plan, e.first_gateway, e.spread)
+    share = decisions.refill(a)
+    if not a.plan.rate or decisions.admits(a, e.units, share) or a.plan.over_worth > a.plan.over_cost:
+        return None
+    a.asked_at = now
+    if a.wide:
+        decisions.ask(a, e.units)
+        decisions.untold[e.customer] = a
+    elif not e.is_retry:
+        a.demand += e.units / DEMAND_MEMORY
+    return max(decisions.s.tick, (e.units - a.level) / (decisions.rate(a) * share + 1e-6))
--- a/corkdeal/net/channel.py
+++ b/corkdeal/net/channel.py
@@ -12,6 +12,7 @@
 from zope.interface import implementer
 
 from . import gather
+from .body import Body
 from .invariants import count, holds
 from .passage import Passage
 from .resp import Frame, Malformed, Parser
@@ -49,6 +50,8 @@
         self.bad = 0
         self.half_closed = self.closing = self.refused = False
         self.held = self.reading = self.ended = False
+        self.body: Body | None = None  # a command's long value on its way in
+        self.kept = 0  # bytes of a long answer that its client has not taken, for the budget
 
     @property
     def spare(self) -> bool:
@@ -75,11 +78,16 @@
         self.reading = True
         try:
             self.parser.feed(data)
-            while not self.refused and (frame := self.parser.next()) is not None:
-                self.command(frame, now)
+            more = not self.parser.body or self.body_comes()
+            while more and not self.refused and (frame := self.parser.next()) is not None:
+                if frame.last and self.body is None:
+                    self.command(frame, now)
+                else:
+                    more = self.long_command(frame, now)
                 begun = now
         except Malformed as error:
             count("channel_malformed")
+            self.forget_body()
             self.refuse(b"-ERR Protocol error: %b\r\n" % str(error).encode())
         finally:
             self.reading = False
@@ -88,8 +96,6 @@
 
     def command(self, frame: Frame, now: float) -> None:
         """One command; what is no request is answered here."""
-        if not frame.last:
-            raise Malformed("value too long")
         if not frame.is_command():
             raise Malformed("expected an array of bulk strings")
         self.spoke = True
@@ -98,16 +104,8 @@
             try:
                 rpc = self.gateway.reader.read(frame, now)
             except BadRequest as error:
-                count("request_malformed")
-                self.bad += 1
-                tell = self.ready if self.bad < MOST_BAD else self.refuse
-                return tell(b"-ERR %b\r\n" % str(error).encode())
-            rpc.channel = self
-            self.asked += 1
-            self.waiting.append(rpc)
-            if len(self.waiting) >= MOST_WAITING and not self.held:
-                self.held = True
-                super().pauseProducing()
+                return self.bad_request(error)
+            self.line_up(rpc)
             self.gateway.take(rpc)
         elif name == b"PING" and len(frame.items) == 2:
             self.ready(STANDBY if self.gateway.operators.standby else b"+PONG\r\n")
@@ -120,6 +118,74 @@
         else:
             self.ready(b"-ERR unknown command\r\n")
 
+    def line_up(self, rpc: RPC) -> None:
+        """One more answer is owed here; past so many the channel is not read on."""
+        rpc.channel = self
+        self.asked += 1
+        self.waiting.append(rpc)
+        if len(self.waiting) >= MOST_WAITING and not self.held:
+            self.held = True
+            self.regulate()
+
+    def bad_request(self, error: BadRequest) -> None:
+        """Tell what is wrong with it; many of them end the channel."""
+        count("request_malformed")
+        self.bad += 1
+        tell = self.ready if self.bad < MOST_BAD else self.refuse
+        tell(b"-ERR %b\r\n" % str(error).encode())
+
+    def long_command(self, frame: Frame, now: float) -> bool:
+        """A part of a command with a long value; whether the next one can be looked for."""
+        if self.body is None:
+            self.spoke = True
+            try:
+                rpc = self.gateway.reader.read_head(frame, self.parser.left, now)
+                self.line_up(rpc)
+                rpc.body = self.body = Body(self.gateway.budget, self, rpc)
+                if (wait := self.gateway.beyond_quota(rpc.request)) is not None:
+                    count("refused_at_head")
+                    self.turn_down(self.body, wait)
+            except BadRequest as error:
+                self.body = Body(self.gateway.budget, self, None)
+                self.bad_request(error)
+        elif frame.last:
+            body, self.body = self.body, None
+            body.end()
+            if body.rpc is not None:
+                body.rpc.deadline = now + body.rpc.request.patience
+                self.gateway.take(body.rpc)
+            return True
+        return self.body_comes()
+
+    def body_comes(self) -> bool:
+        """Take what has come of a long value; whether that is all."""
+        while (piece := self.parser.piece()) is not None:
+            self.body.take(piece)
+        return not self.parser.body
+
+    def turn_down(self, body: Body, after: float) -> None:
+        """Refuse a command whose long value has not come whole; the rest of it is read past."""
+        if body.rpc is not None:
+            body.rpc.reply = [self.gateway.turned_down(body.rpc, after)]
+            body.drop()
+            self.regulate()
+            self.flush()
+
+    def body_late(self) -> None:
+        """A long value does not come on: what was to be an RPC is none, and the channel ends."""
+        self.forget_body()
+        self.refuse(b"-ERR timeout: the command does not come\r\n")
+
+    def forget_body(self) -> None:
+        """The command whose long value was coming never comes whole; nothing was taken."""
+        body, self.body = self.body, None
+        if body is not None:
+            if body.rpc is not None:
+                self.waiting.remove(body.rpc)
+                self.gateway.reader.open.discard(body.rpc.id)
+            body.end()
+            body.drop()
+
     def ready(self, reply: bytes) -> None:
         """An answer at once, behind those that are still to come."""
         self.waiting.append(Ready(reply))
@@ -135,19 +201,28 @@
         """The one final answer of an RPC, yet to come whole; behind others its passage has to wait."""
         if holds(rpc.reply is None, "second_answer"):
             rpc.passage, rpc.reply = passage, [passage.head]
-            if rpc is not self.waiting[0]:
-                passage.pause()
-            self.flush()
+            passage.resume() if self.first(rpc) else passage.pause()
 
     def passed(self, rpc: RPC) -> None:
         """More of an answer has come."""
-        if self.waiting and rpc is self.waiting[0]:
+        if self.first(rpc):
             self.flush()
 
-    def unsent(self, rpc: RPC) -> int | None:
-        """Bytes that the client has not taken yet, if this RPC's answer is being written."""
-        if not self.waiting or rpc is not self.waiting[0]:
-            return None
+    def pace(self) -> None:
+        """A long answer goes on once its client has taken all of it so far: at most one piece waits here."""
+        if (unsent := self.unsent()) and not self.transport.producerPaused:
+            self.transport.producerPaused = True  # its mark is 64 KiB; this way it tells when all is taken
+            self.pauseProducing()
+        elif not unsent and self.waiting and (passage := self.waiting[0].passage) is not None:
+            passage.resume()
+        self.gateway.budget.hold(self, unsent)
+
+    def first(self, rpc: RPC) -> bool:
+        """Whether this RPC's answer is the next to be written."""
+        return bool(self.waiting) and rpc is self.waiting[0]
+
+    def unsent(self) -> int:
+        """Bytes that the client has not taken yet."""
         return len(self.transport.dataBuffer) - self.transport.offset + self.transport._tempDataLen
 
     def flush(self) -> None:
@@ -155,22 +230,23 @@
         if self.reading:
             return
         parts: list[gather.Part] = []
-        passage = None
+        long = False
         while self.waiting and (reply := self.waiting[0].reply) is not None:
             parts += reply
-            if (passage := self.waiting[0].passage) is not None and not passage.ended:
-                self.waiting[0].reply = []
-                break
-            passage = None
+            if (passage := self.waiting[0].passage) is not None:
+                long = True
+                if not passage.ended:
+                    self.waiting[0].reply = []
+                    break
             self.waiting.popleft()
         if parts and self.transport.connected:
             gather.write(self.transport, parts)
-        if passage is not None and not self.transport.producerPaused:
-            passage.resume()
+        if long:
+            self.pace()
         if self.held and len(self.waiting) < MOST_WAITING // 2:
             self.held = False
-            if not self.transport.producerPaused and not self.refused:
-                self.resumeProducing()
+            if not self.refused:
+                self.regulate()
         if not self.waiting:
             self.since = self.gateway.now()
             if self.refused:
@@ -186,16 +262,24 @@
 
     def pauseProducing(self) -> None:
         """The client does not take what is written: it is not read on, and neither is who answers it."""
-        super().pauseProducing()
+        self.regulate()
         if self.waiting and self.waiting[0].passage is not None:
             self.waiting[0].passage.pause()
 
     def resumeProducing(self) -> None:
         """All is written."""
-        if not self.held:
-            super().resumeProducing()
-        if self.waiting and self.waiting[0].passage is not None:
-            self.waiting[0].passage.resume()
+        self.regulate()
+        if self.kept:
+            self.gateway.budget.hold(self, 0)
+        if self.waiting and (passage := self.waiting[0].passage) is not None:
+            passage.resume()
+
+    def regulate(self) -> None:
+        """Read the client or not: it takes no answers, is owed many, or what it sends finds no room."""
+        no_room = self.body is not None and self.body.waits is not None
+        stop = self.held or self.transport.producerPaused or no_room
+        if stop is not self.paused:
+            super().pauseProducing() if stop else super().resumeProducing()
 
     def cut(self) -> None:
         """An answer that was begun can't be finished: end here, so that its client can tell.
@@ -239,6 +323,9 @@
     def readConnectionLost(self) -> None:
         """The client sends no more. It may still read, so what it asked for is answered first."""
         self.half_closed = True
+        if self.body is not None:
+            count("command_cut_short")
+            self.forget_body()
         if not self.waiting:
             self.end()
 
@@ -248,11 +335,13 @@
     def connectionLost(self, reason: Any = None) -> None:
         """The client has gone away: nobody waits for what it asked."""
         self.gateway.channels.discard(self)
+        self.gateway.budget.hold(self, 0)
         self.leave()
         self.gateway.channel_ended()
 
     def leave(self) -> None:
         """Nobody waits any more for what is open here."""
+        self.forget_body()
         waiting, self.waiting = self.waiting, deque()
         for rpc in waiting:
             if rpc.passage is not None:
--- a/corkdeal/net/config.py
+++ b/corkdeal/net/config.py
@@ -35,6 +35,7 @@
     peers_all: Address | None = None
     known: ResolverResult | None = None
     sockets: int = 1024
+    memory: int = 192 << 20  # bytes that the process may take
     ops: Address | None = None  # the operators' HTTP address; without it there is none
     inherited: int | None = None  # a listening socket for clients, handed down by whoever started this one
 
@@ -115,6 +116,9 @@
     sockets = limits.get("sockets", 1024)
     if type(sockets) is not int or sockets < 32:
         raise ConfigError(f"limits.sockets must be a whole number of 32 or more, not {sockets!r:.60}")
+    memory = limits.get("memory_mb", 192)
+    if type(memory) not in (int, float) or not 16 <= memory <= 1 << 20:
+        raise ConfigError(f"limits.memory_mb must be a number from 16 to 1048576, not {memory!r:.60}")
     if not isinstance(peers, list):
         raise ConfigError("peers must be a list")
     settings = settings_of(raw.get("settings"))
@@ -132,7 +136,7 @@
         peer_listen=address(raw["peer_listen"], "peer_listen") if raw.get("peer_listen") else None,
         peers=tuple(address(p, f"peers.{i}") for i, p in enumerate(peers)),
         peers_all=address(raw["peers_all"], "peers_all") if raw.get("peers_all") else None,
-        known=known, sockets=sockets,
+        known=known, sockets=sockets, memory=int(memory * (1 << 20)),
         ops=address(ops, "ops") if (ops := raw.get("ops") or env.get("RELAY_OPS")) else None,
         inherited=inherited_of(env.get("RELAY_INHERITED_FD")))
 
--- a/corkdeal/net/descriptors.py
+++ b/corkdeal/net/descriptors.py
@@ -51,6 +51,8 @@
         now, many = self.now(), len(self.channels) > self.most // 8
         # a channel taken on standby is closing from its start, and is timed like the others until it speaks
         for each in [c for c in self.channels if c.spare or (c.closing and not c.spoke and not c.refused)]:
+            if each.body is not None:
+                continue  # a long value is looked after by itself
             if each.parser.midway:
                 if now - each.begun > COMMAND_LATE:
                     count("channel_without_command")
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -11,11 +11,12 @@
 
 from twisted.internet.error import CannotListenError
 
+from .. import early, logs
 from .. import interface as t
-from .. import logs
 from ..brain import Gateway as Decisions
 from . import channel, invariants
 from .backends import Backends
+from .budget import Budget, budget_for
 from .config import Config, ConfigError, load, text_of
 from .descriptors import Descriptors
 from .handheld import Handheld
@@ -47,9 +48,10 @@
         self.decisions = Decisions(self.settings, config.seed)
         self.reader = Reader(self.settings)
         self.channels: set[channel.Channel] = set()
+        self.budget = Budget(budget_for(config.memory))
         self.descriptors = Descriptors(config.sockets, self.channels, self.now)
         self.pool = Pool(reactor, self.settings, config.sockets // 2, self.now, self.finished,
-                         self.descriptors.for_subchannel, self.passing)
+                         self.descriptors.for_subchannel, self.passing, self.budget)
         self.descriptors.pool = self.pool
         self.peering = Peering(self.settings.me, config.peers, config.peers_all, self.heard)
         self.watch = self.watch_at(config.discovery, config.known)
@@ -228,6 +230,22 @@
         self.rpcs[rpc.request.id] = rpc
         self.feed(rpc.request)
 
+    def turned_down(self, rpc: RPC, after: float) -> bytes:
+        """A command is refused before it has come whole; the answer to give."""
+        rpc.done = True
+        self.reader.open.discard(rpc.id)
+        self.tally["busy"] += 1
+        return self.unavailable(min(after, self.settings.max_advised_wait))
+
+    def beyond_quota(self, request: t.Request) -> float | None:
+        """The wait to advise where a command can be refused on its head alone, else None."""
+        try:
+            return early.refusal(self.decisions, self.now(), request)
+        except Exception:
+            count("module_failed")
+            logs.event("module_failed", events=[request], trace=traceback.format_exc())
+            return None
+
     def gone(self, rpc: RPC) -> None:
         """Its client has gone away."""
         if self.settle(rpc.request.id) is not None:
@@ -244,6 +262,7 @@
         rid = rpc.request.id
         self.out.pop((rid, attempt.number), None)
         rpc.attempt = None
+        rpc.release()
         if reply.status is t.Status.OK and not rpc.done:
             self.tally["success"] += 1
             self.answer(rid, [reply.value])
@@ -298,6 +317,7 @@
         if (rpc := self.rpcs.pop(rid, None)) is not None:
             rpc.done = True
             self.reader.open.discard(rpc.id)
+            rpc.release()
         return rpc
 
     def send(self, a: t.Send) -> None:
@@ -316,9 +336,13 @@
 
     def refuse(self, a: t.Refuse) -> None:
         """The unavailable status, with the time after which to come again where that is allowed."""
-        wait = math.ceil(a.retry_after * 1000) if self.settings.may_advise_wait else 0
         self.tally["busy"] += a.id in self.rpcs
-        self.answer(a.id, [b"-BUSY %d\r\n" % wait if wait > 0 else b"-BUSY\r\n"])
+        self.answer(a.id, [self.unavailable(a.retry_after)])
+
+    def unavailable(self, after: float) -> bytes:
+        """The unavailable status as it is written."""
+        wait = math.ceil(after * 1000) if self.settings.may_advise_wait else 0
+        return b"-BUSY %d\r\n" % wait if wait > 0 else b"-BUSY\r\n"
 
     def fail(self, a: t.Fail) -> None:
         """A failure that promises nothing."""
--- a/corkdeal/net/passage.py
+++ b/corkdeal/net/passage.py
@@ -35,27 +35,52 @@
         self.conn, self.attempt, self.rpc = conn, attempt, attempt.rpc
         self.head = memoryview(frame.buf)[items[1].head:items[-1].start]
         self.ended = False  # whether all of the value was handed to the channel
+        self.begun = False  # whether its first bytes went to the channel, which makes the attempt final
+        self.kept = 0  # bytes, for the budget
+        self.budget = conn.pool.budget
         self.paused = False
         self.moved = conn.pool.now()  # when the backend last gave something, or was read again
         self.unsent = -1  # what the client had not taken at the last look
-        conn.pool.reactor.callLater(GIVE_STALL, self.look)
+
+    def start(self) -> None:
+        """Begin, where there is room for one more long value; else it waits, and the backend is not read."""
+        if self.budget.full:
+            count("answer_waits_for_room")
+            self.budget.hold(self, len(self.conn.parser.buf))
+            self.budget.keep_out(self)
+        else:
+            self.go_on()
+
+    def hold_back(self) -> None:
+        """There is no room for it."""
+        self.pause()
+
+    def go_on(self) -> None:
+        """There is room: from here on the attempt is final, unless nobody waits for it."""
+        self.begun = True
+        self.budget.hold(self, 0)
+        self.conn.pool.reactor.callLater(GIVE_STALL, self.look)
+        if self.conn.pool.passing(self.attempt, self):
+            self.advance()
+        else:
+            count("answer_for_nobody")
+            self.conn.pool.give_up(self.attempt, t.Status.CANCELLED)
 
     def take(self, data: bytes) -> None:
         """More of the answer."""
         self.moved = self.conn.pool.now()
         self.conn.parser.feed(data)
-        self.go_on()
+        self.advance()
 
-    def go_on(self) -> None:
+    def advance(self) -> None:
         """Pass on what has come of the value; behind it the report is read."""
         parts: list[Any] = []
         try:
             reply = self.read(parts)
         except Malformed:
             return self.conn.spoilt(self.attempt)
-        if parts:
-            self.rpc.reply += parts
-            self.rpc.channel.passed(self.rpc)
+        self.rpc.reply += parts
+        self.rpc.channel.passed(self.rpc)
         if reply and not self.attempt.over:
             self.conn.answered(self.attempt, reply)
 
@@ -105,8 +130,8 @@
             if wait <= 0:
                 count("answer_stalled")
                 return self.conn.spoilt(self.attempt)
-        elif (unsent := self.rpc.channel.unsent(self.rpc)) is not None:
-            if unsent == self.unsent:
+        elif self.rpc.channel.first(self.rpc):
+            if (unsent := self.rpc.channel.unsent()) == self.unsent:
                 count("answer_not_taken")
                 return self.rpc.channel.cut()
             self.unsent = unsent
@@ -114,7 +139,9 @@
 
     def broken(self) -> None:
         """No more of it will come."""
-        if not self.ended:
+        self.budget.forget(self)
+        self.budget.hold(self, 0)
+        if self.begun and not self.ended:
             self.ended = True
             self.rpc.channel.cut()
 
--- a/corkdeal/net/rpc.py
+++ b/corkdeal/net/rpc.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from .. import interface as t
-from .resp import Frame, fields_of
+from .resp import ARRAY, BULK, Frame, Malformed, fields_of
 
 MOST_CUSTOMER = 1 << 33
 READ, WRITE = b"API.READ", b"API.WRITE"
@@ -44,6 +44,7 @@
     done: bool = False  # answered, or nobody waits for it
     reply: list[Any] | None = None  # the answer, or what has come of it, while it waits for those before it
     passage: Any = None  # what passes on an answer with a long value
+    body: Any = None  # the command's own long value
 
     def parts(self, wait: float) -> list[bytes | memoryview]:
         """The command for a subchannel: all as it came, but `d` says how long this gateway waits."""
@@ -52,7 +53,15 @@
         left = buf[params.start:params.start + self.wait_at]
         right = buf[params.start + self.wait_stop:params.stop]
         text = b"%b%d%b" % (left, max(1, int(wait * 1000)), right)
-        return [buf[first.head:params.head], b"$%d\r\n%b" % (len(text), text), buf[params.stop:last.end]]
+        head = [buf[first.head:params.head], b"$%d\r\n%b" % (len(text), text)]
+        if self.body is not None:
+            return [*head, buf[params.stop:last.start], *self.body.pieces]
+        return [*head, buf[params.stop:last.end]]
+
+    def release(self) -> None:
+        """Let go of a long value once it can't be sent again."""
+        if self.body is not None and self.done and self.attempt is None:
+            self.body.drop()
 
 
 class Reader:
@@ -102,6 +111,15 @@
                              given.get(b"r") == b"1", write),
                    rid, frame, at, stop if stop >= 0 else len(raw), deadline)
 
+    def read_head(self, frame: Frame, left: int, now: float) -> RPC:
+        """A command that has come up to its long value, with `left` items still to come behind that."""
+        top, words = frame.items[0], frame.items[1:]
+        if top.kind != ARRAY or not all(i.kind == BULK and i.size >= 0 for i in words):
+            raise Malformed("expected an array of bulk strings")
+        if len(words) != PARAMS + 1 or left or frame.text(1).upper() != WRITE:
+            raise BadRequest("only the last argument of API.WRITE may be so long")
+        return self.read(frame, now)
+
     def fields(self, raw: bytes) -> dict[bytes, bytes]:
         """The parameters, each once and in its form; names that are not known here go through as they are."""
         pairs = fields_of(raw)
--- a/corkdeal/net/subchannel.py
+++ b/corkdeal/net/subchannel.py
@@ -13,6 +13,8 @@
 from .. import interface as t
 from . import gather
 from .answers import Reply, check_head, read_probe, read_reply
+from .body import Sender
+from .budget import Budget
 from .invariants import count, holds
 from .passage import Passage
 from .resp import Frame, Malformed, Parser
@@ -49,6 +51,7 @@
         self.attempt: Attempt | None = attempt
         self.up = self.ended = False
         self.passage: Passage | None = None  # the long answer that it is giving
+        self.sender: Sender | None = None  # what writes a long command, until it is whole
         self.idle_since = 0.0
         self.connector: Any = None
         attempt.conn = self
@@ -64,7 +67,16 @@
     def begin(self, attempt: Attempt) -> None:
         """Write an attempt; from its first byte on it counts as sent."""
         self.attempt, attempt.conn = attempt, self
-        gather.write(self.transport, attempt.parts)
+        if attempt.rpc is None or attempt.rpc.body is None:
+            return gather.write(self.transport, attempt.parts)
+        self.sender = Sender(self.transport, attempt.parts, self.sent)
+        self.sender.start()
+
+    def sent(self) -> None:
+        """A long command is written whole. Its attempt counts from here: how slowly it went says little."""
+        self.sender = None
+        if self.attempt:
+            self.attempt.sent_at = self.pool.now()
 
     def rawDataReceived(self, data: bytes) -> None:
         """The answer; bytes that nobody asked for end the connection."""
@@ -84,6 +96,8 @@
             reply = frame and (read_reply if self.attempt.rpc else read_probe)(frame)
             if not frame and self.attempt.rpc:
                 check_head(*self.parser.head())
+            elif reply and self.sender and reply.status is t.Status.OK:
+                raise Malformed("an answer to a command that it does not have whole")
         except Malformed:
             return self.spoilt(self.attempt)
         if not reply and not begun:  # one that never ends would hold its request up to the deadline
@@ -95,29 +109,25 @@
     def answered(self, attempt: Attempt, reply: Reply) -> None:
         """The whole answer has come; the connection is kept unless more than that did."""
         self.attempt = self.passage = None
-        if self.parser.midway:
-            count("subchannel_unasked")
+        if self.parser.midway or self.sender:
+            count("subchannel_answered_early" if self.sender else "subchannel_unasked")
             self.close()
         else:
             self.pool.keep(self)
         self.pool.finish(attempt, reply)
 
     def long_answer(self, attempt: Attempt, frame: Frame) -> None:
-        """An answer has come up to a long value: it is passed on from here, unless nobody waits for it."""
-        if attempt.rpc is None:
-            raise Malformed("no answer to a probe")
+        """An answer has come up to a long value: it is passed on from here."""
+        if attempt.rpc is None or self.sender:
+            raise Malformed("no answer to what was asked")
         self.passage = Passage(self, attempt, frame)
-        if self.pool.passing(attempt, self.passage):
-            self.passage.go_on()
-        else:
-            count("answer_for_nobody")
-            self.pool.give_up(attempt, t.Status.CANCELLED)
+        self.passage.start()
 
     def stalled(self, attempt: Attempt, until: float, had: int) -> None:
         """Whether an answer that had begun still comes."""
         have = len(self.parser.buf)
-        if attempt.first is not None:
-            return  # it is being passed on, and its passage looks after it
+        if self.passage is not None:
+            return  # it looks after itself
         if not attempt.over and have > had and self.pool.now() < until:
             self.pool.reactor.callLater(REPLY_STALL, self.stalled, attempt, until, have)
         else:
@@ -167,7 +177,7 @@
         if self.passage:
             self.passage.broken()
         if attempt:
-            whole = self.up and not gather.pending(self.transport)
+            whole = self.up and not self.sender and not gather.pending(self.transport)
             self.pool.finish(attempt, Reply(t.Status.RESET if whole else t.Status.CONNECT_FAILED))
 
     def connectionLost(self, reason: Any = None) -> None:
@@ -201,9 +211,9 @@
 
     def __init__(self, reactor: Any, settings: t.Settings, most: int, now: Callable[[], float],
                  finished: Callable[[Attempt, Reply], None], room: Callable[[], bool],
-                 passing: Callable[[Attempt, Passage], bool]) -> None:
+                 passing: Callable[[Attempt, Passage], bool], budget: Budget) -> None:
         self.reactor, self.most, self.now, self.finished, self.room = reactor, most, now, finished, room
-        self.passing = passing
+        self.passing, self.budget = passing, budget
         aim = min(c.aim for c in settings.classes)
         self.connect_timeout = min(settings.connect_timeout, CONNECT_PART * aim)
         self.idle_limit = settings.conn_idle * IDLE_PART
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import re
 from collections import deque
 
 import pytest
@@ -10,7 +11,8 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from corkdeal import interface as t
-from corkdeal.net import answers, config, gateway, invariants, passage, resp, subchannel
+from corkdeal.net import answers, body, config, gateway, invariants, passage, resp, subchannel
+from corkdeal.net.budget import Budget
 from corkdeal.net.resp import WHOLE, command
 
 from .net_world import SETTINGS, Program, served
@@ -84,7 +86,9 @@
         """Nothing."""
 
     def registerProducer(self, producer, streaming):
-        self.producer = producer
+        self.producer, self.streaming = producer, streaming
+        if not streaming:
+            producer.resumeProducing()
 
     def unregisterProducer(self):
         self.producer = None
@@ -102,7 +106,7 @@
 
     def write(self, data):
         self.dataBuffer += data
-        if self.producer and len(self.dataBuffer) > WHOLE and not self.producerPaused:
+        if self.producer and self.streaming and len(self.dataBuffer) > WHOLE and not self.producerPaused:
             self.producerPaused = True
             self.producer.pauseProducing()
 
@@ -113,7 +117,7 @@
         """The other side reads all, and has room again."""
         self.taken += self.dataBuffer
         self.dataBuffer, self.room = b"", 1 << 40
-        if self.producer and self.producerPaused:
+        if self.producer and (self.producerPaused or not self.streaming):
             self.producerPaused = False
             self.producer.resumeProducing()
 
@@ -123,6 +127,9 @@
     def resumeProducing(self):
         self.reading_paused = False
 
+    def loseWriteConnection(self):
+        """Nothing."""
+
     def loseConnection(self):
         self.closed = True
 
@@ -157,8 +164,11 @@
         """One request, and the connection that its attempt goes out on."""
         params = b"c=look,t=large,d=3000,units=1,spread=1,first=0"
         self.channel.dataReceived(command(b"API.READ", b"%016x" % 7, b"%016x" % rid, params))
-        conn = self.reactor.tcpClients[-1][2].buildProtocol(None)
-        wire = Wire()
+        return self.back()
+
+    def back(self):
+        """The last connection to a backend comes up."""
+        conn, wire = self.reactor.tcpClients[-1][2].buildProtocol(None), Wire()
         conn.makeConnection(wire)
         return conn, wire
 
@@ -272,8 +282,7 @@
     pair = Pair()
     pool = pair.gateway.pool
     pool.send(subchannel.Attempt(None, 0, "a", 0.0, 9.0, [b"x"]))
-    conn = pair.reactor.tcpClients[-1][2].buildProtocol(None)
-    conn.makeConnection(Wire())
+    conn, _ = pair.back()
     conn.dataReceived(VALUE)
     assert conn.ended and invariants.counts["subchannel_malformed"] == 1
     assert [e.status for e in pair.heard if isinstance(e, t.ProbeResult)] == [t.Status.RESET]
@@ -291,6 +300,196 @@
     assert request.patience == pytest.approx(0.9, abs=0.01)
 
 
+def write(rid=1, size=3 * LONG, cls=b"note", plan=b"large", more=b",k=ab", d=3000):
+    """A command with a long value."""
+    params = b"c=%b,t=%b,d=%d%b,units=1,spread=1,first=0" % (cls, plan, d, more)
+    customer = 1 if plan == b"small" else 7
+    return command(b"API.WRITE", b"%016x" % customer, b"%016x" % rid, params, b"b" * size)
+
+
+def without_wait(raw):
+    return re.sub(rb"\$\d+\r\nc=(.*?),d=\d+,", rb"c=\1,", bytes(raw), count=1)
+
+
+@given(st.lists(st.integers(0, 10**6), max_size=12), st.lists(st.integers(1, 3), max_size=9))
+def test_a_long_command_reaches_its_backend_whole_whatever_the_cuts(at, takes):
+    pair = Pair()
+    raw = write()
+    for piece in cut(raw, at):
+        assert not pair.reactor.tcpClients  # nothing is sent before the last byte has come
+        pair.channel.dataReceived(piece)
+        pair.reactor.advance(0.01)
+    conn, wire = pair.reactor.tcpClients[-1][2].buildProtocol(None), Wire()
+    wire.room = 1000
+    conn.makeConnection(wire)
+    for n in takes:
+        wire.take()
+        wire.room = n * LONG
+    wire.take()
+    assert without_wait(wire.taken) == without_wait(raw)
+    assert pair.gateway.budget.total >= 3 * LONG  # until its answer: it may have to be sent again
+    conn.dataReceived(served())
+    assert bytes(pair.client.taken) == bulk(1) and pair.outcomes() == [t.Status.OK]
+    assert pair.gateway.budget.total == 0
+
+
+def test_a_long_command_that_broke_off_is_sent_again_and_counts_as_never_come():
+    pair = Pair()
+    pair.channel.dataReceived(write(cls=b"pay", more=b""))  # may be sent again only because nothing of it ran
+    conn, wire = pair.reactor.tcpClients[-1][2].buildProtocol(None), Wire()
+    wire.room = LONG
+    conn.makeConnection(wire)
+    conn.connectionLost()
+    assert pair.outcomes() == [t.Status.CONNECT_FAILED]
+    again, whole = pair.back()
+    assert again is not conn and without_wait(whole.taken) == without_wait(write(cls=b"pay", more=b""))
+
+
+EARLY = [(b"-BUSY\r\n", t.Status.FULL), (served(), t.Status.RESET), (HEAD + VALUE, t.Status.RESET)]
+
+
+@pytest.mark.parametrize(("answer", "status"), EARLY)
+def test_an_answer_to_a_command_that_is_not_whole_ends_its_connection(answer, status):
+    pair = Pair()
+    pair.channel.dataReceived(write())
+    conn, wire = pair.reactor.tcpClients[-1][2].buildProtocol(None), Wire()
+    wire.room = LONG
+    conn.makeConnection(wire)
+    conn.dataReceived(answer)
+    assert pair.outcomes() == [status] and conn.ended and wire.aborted
+    assert not pair.client.taken.startswith(b"$")
+
+
+PING, PONG = command(b"PING"), b"+PONG\r\n"
+BAD = [  # a command with a long value, and the answer before the PING's
+    (command(b"ECHO", b"x" * LONG), b"-ERR only the last"),
+    (command(b"PING", b"x" * LONG, b"x" * LONG), b"-ERR only the last"),
+    (command(b"API.READ", b"x" * LONG, b"1", b"c=look"), b"-ERR only the last"),
+    (write().replace(b"API.WRITE", b"API.WROTE"), b"-ERR only the last"),
+    (write().replace(b"*5", b"*6") + b"$1\r\nx\r\n", b"-ERR only the last"),
+    (write().replace(b"c=note", b"c=nope"), b"-ERR unknown class"),
+    (write(d=0), b"-ERR "),
+]
+
+
+@pytest.mark.parametrize(("raw", "answer"), BAD)
+def test_a_bad_command_with_a_long_value_is_read_past_and_the_channel_stays(raw, answer):
+    for size in (len(raw), 5000):
+        pair = Pair()
+        for i in range(0, len(raw), size):
+            pair.channel.dataReceived(raw[i : i + size])
+        pair.channel.dataReceived(PING)
+        assert pair.client.taken.startswith(answer) and pair.client.taken.endswith(PONG)
+        assert bytes(pair.client.taken).count(b"\r\n") == 2
+        assert not pair.gateway.reader.open and pair.gateway.budget.total == 0 and not pair.reactor.tcpClients
+
+
+def test_what_is_beyond_a_quota_is_refused_at_the_head_and_read_past():
+    pair = Pair()
+    for rid in range(2):  # all that the plan allows at once
+        pair.channel.dataReceived(write(rid, plan=b"small"))
+    raw = write(9, plan=b"small")
+    pair.channel.dataReceived(raw[:300])
+    assert invariants.counts["refused_at_head"] == 1
+    pair.back()[0].dataReceived(served())
+    assert not pair.client.taken  # the first one's answer is still to come
+    pair.channel.dataReceived(raw[300:] + PING)
+    assert len(pair.reactor.tcpClients) == 2 and pair.gateway.operators.tally["busy"] == 1
+
+
+LEAVES = [  # what happens in the middle of a body, what the client reads, a count
+    (lambda pair: pair.channel.readConnectionLost(), b"", "command_cut_short"),
+    (lambda pair: pair.channel.connectionLost(), b"", None),
+    (lambda pair: pair.reactor.pump([body.LOOK_EVERY] * 2), b"-ERR timeout", "body_stalled"),
+    (lambda pair: pair.channel.dataReceived(b"b" * 3 * LONG), b"-ERR Protocol error", "channel_malformed"),
+]
+
+
+@pytest.mark.parametrize(("leave", "answer", "name"), LEAVES)
+def test_a_body_that_does_not_come_whole_costs_its_own_command(leave, answer, name):
+    pair = Pair()
+    pair.channel.dataReceived(write()[:LONG])
+    assert pair.gateway.reader.open
+    pair.reactor.advance(0.1)
+    leave(pair)
+    assert bytes(pair.client.taken).startswith(answer) and bool(answer) == bool(pair.client.taken)
+    assert not name or invariants.counts[name] == 1
+    assert not pair.gateway.reader.open and pair.gateway.budget.total == 0 and not pair.gateway.rpcs
+    pair.reactor.advance(60.0)  # no timer of it does anything any more
+    assert not pair.reactor.tcpClients
+
+
+def test_a_body_without_room_waits_then_is_refused_and_an_answer_without_room_waits():
+    pair = Pair()
+    budget = pair.gateway.budget
+    hog = Hog(budget)
+    pair.channel.dataReceived(write(1, size=2 * LONG)[:LONG])
+    other = gateway.channel.Channel(pair.gateway)
+    other.makeConnection(Wire())
+    other.dataReceived(write(2, size=2 * LONG)[:LONG])
+    asker = gateway.channel.Channel(pair.gateway)
+    asker.makeConnection(taker := Wire())
+    asker.dataReceived(command(b"API.READ", b"%016x" % 7, b"%016x" % 3, b"c=look,t=large,d=3000"))
+    conn, wire = pair.back()
+    budget.hold(hog, budget.high)
+    assert other.paused and not pair.channel.paused  # the oldest may come whole
+    conn.dataReceived(HEAD + VALUE)
+    assert wire.reading_paused and not taker.taken
+    pair.reactor.advance(body.WAIT_MOST)
+    assert other.transport.taken.startswith(b"-BUSY 500") and not other.paused
+    budget.hold(hog, 0)
+    assert bytes(taker.taken) == VALUE and not wire.reading_paused
+
+
+class Hog:
+    """A holder of a budget that only counts."""
+
+    def __init__(self, budget, body=False):
+        self.budget, self.kept, self.back = budget, 0, False
+        if body:
+            budget.join(self)
+
+    def hold_back(self):
+        self.back = True
+
+    def go_on(self):
+        self.back = False
+
+
+STEPS = st.lists(st.tuples(st.sampled_from("join grow whole drop answer taken".split()), st.integers(0, 30)))
+
+
+@given(STEPS)
+def test_the_budget_is_never_passed_and_somebody_always_moves(steps):
+    budget, bodies, whole, answers_ = Budget(3 * resp.MOST_VALUE), [], [], []
+    for what, n in steps:
+        pick = lambda some, n=n: some[n % len(some)] if some else None  # noqa: E731
+        if what == "join":
+            bodies.append(Hog(budget, body=True))
+        elif what == "answer" and not budget.full:
+            answers_.append(Hog(budget))
+            budget.hold(answers_[-1], WHOLE)
+        elif what == "taken" and (one := pick(answers_)):
+            answers_.remove(one)
+            budget.hold(one, 0)
+        elif what == "grow":  # all that may come, piece by piece, some of them to their end
+            for _ in range(n):
+                for one in [b for b in bodies if not b.back]:
+                    if not one.back and one.kept < resp.MOST_VALUE:
+                        budget.hold(one, min(resp.MOST_VALUE, one.kept + WHOLE))
+        elif what == "whole" and (one := next((b for b in bodies if b.kept == resp.MOST_VALUE), None)):
+            bodies.remove(one)
+            whole.append(one)
+            budget.whole(one)
+        elif what == "drop" and (one := pick(bodies + whole)):
+            (bodies if one in bodies else whole).remove(one)
+            budget.whole(one)
+            budget.hold(one, 0)
+        assert budget.total == sum(h.kept for h in bodies + whole + answers_) <= budget.most + 2 * WHOLE
+        assert not bodies or any(not b.back for b in bodies)
+        assert budget.full or budget.total > budget.low or not any(b.back for b in bodies)
+
+
 class LongValues(Program):
     """The release build on real sockets."""
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -6,7 +6,7 @@
 import sys
 
 ROOT = pathlib.Path(__file__).parents[1]
-DECIDING = {"brain", "cold", "plumbing", "state", "peers", "memory", "interface"}
+DECIDING = {"brain", "cold", "plumbing", "state", "peers", "memory", "early", "interface"}
 PURE = {
     "interface": set(),
     "state": {"interface", "peers"},
@@ -14,7 +14,8 @@
     "cold": {"interface", "state"},
     "memory": {"interface", "state"},
     "plumbing": {"interface", "memory", "peers", "state"},
-    "brain": DECIDING - {"brain"},
+    "brain": DECIDING - {"brain", "early"},
+    "early": {"interface", "brain"},
 }
 MAY = {  # package or module -> those it may import
     **PURE,
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -4,6 +4,7 @@
 import json
 import subprocess
 import sys
+import types
 import unittest
 import unittest.mock
 
@@ -235,6 +236,7 @@
             ("settings.balancers", "no", "balancers"),
             ("settings.classes.0.aim_us", 0, "classes.0.aim_us"),
             ("limits", {"sockets": 3}, "limits.sockets"),
+            ("limits", {"memory_mb": 3}, "limits.memory_mb"),
             ("settings.classes.1.semantics", "odd", "classes.1.semantics"),
             ("peers", ["127.0.0.1:1"], "peers"),
             ("peers", ["127.0.0.1:1", "x"], "peers.1"),
@@ -350,7 +352,7 @@
     def test_nothing_is_kept_of_backends_that_left(self):
         pool, attempt = self.dial()  # a long day replaces them again and again
         connection, _ = self.up()
-        attempt.rpc = rpc = object()
+        attempt.rpc = rpc = types.SimpleNamespace(body=None)
         pool.finished = lambda attempt, reply: self.assertIs(attempt.rpc, rpc)
         pool.told("a", False, ("127.0.0.1", 1))
         connection.dataReceived(b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
@@ -373,6 +375,7 @@
                 "request": t.Request(1, 1, 0, 0, 1.0, 0, 1, 1.0),
                 "id": 1,
                 "attempt": None,
+                "release": lambda _: None,
                 "done": False,
                 "channel": type("C", (), {"answer": lambda _, rpc, reply: answers.append(reply)})(),
             },
@@ -387,7 +390,7 @@
         hear = lambda attempt, reply: self.ended.append(reply.status)  # noqa: E731
         yes = lambda *_: True  # noqa: E731
         pool = subchannel.Pool(
-            self.reactor, self.gateway.settings, 1, self.reactor.seconds, hear, yes, yes
+            self.reactor, self.gateway.settings, 1, self.reactor.seconds, hear, yes, yes, self.gateway.budget
         )
         pool.told("a", True, ("127.0.0.1", 1))
         pool.send(attempt := subchannel.Attempt(None, 0, "a", 0.0, 9.0, [b"x"]))
@@ -459,7 +462,7 @@
         ):
             with self.subTest(data):
                 pool, attempt = self.dial()
-                attempt.rpc = object()
+                attempt.rpc = types.SimpleNamespace(body=None)
                 connection, _ = self.up()
                 connection.dataReceived(data)
                 self.assertEqual(self.ended, [] if wait else [t.Status.RESET])
@@ -469,7 +472,7 @@
     def test_an_answer_that_comes_in_pieces_is_waited_for_but_not_for_ever(self):
         for pieces, status in ((3, t.Status.OK), (9, t.Status.RESET)):
             _, attempt = self.dial()
-            attempt.rpc = object()
+            attempt.rpc = types.SimpleNamespace(body=None)
             connection, _ = self.up()
             value = b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (pieces, b"v" * pieces)
             for piece in [value[:8], *(value[8 + i : 9 + i] for i in range(pieces - 1))]:
