Divide a gateway's quotas between its two lives during an upgrade

Need: during an upgrade two lives of one gateway each spent a whole slice, and the new one began with full buckets. Change: a start takes a life number in the shared temporary folder; the life before it gives 0.3 of every bucket, rate and of its retries as it starts, and the rest with the ledgers once it takes no new connections. The records, the checksum and the files are those of corkdeal/knowledge; succession.py divides, knowledge/lives.py fences by number, net/succession.py joins both to the gateway. brain.py: a life's part scales its rate, buckets and cold budgets. Ruled out: the new life spending alone from its yes on (clients keep the old one's connections). Found by the tests: a life that tested a dead one's lock kept it, so that a third start took the dead one for alive. Both lives stay within one quota in 200 random orders of asking, giving and killing; peers see no restart; real processes at SIGTERM, SIGKILL of either, and a third start.

--- a/corkdeal/brain.py
+++ b/corkdeal/brain.py
@@ -144,7 +144,7 @@
 
     def refill(self, a: Account) -> float:
         """Bring bucket, ceiling and demand up to now; returns the slice."""
-        share, past, a.at = 1.0 if a.wide else self.slice(a), self.now - a.at, self.now
+        share, past, a.at = self.part * (1.0 if a.wide else self.slice(a)), self.now - a.at, self.now
         if a.wide and not past:  # its level and demand are those of all members
             return share
         a.level = min(a.plan.burst * share, a.level + a.plan.rate * share * past)
@@ -192,7 +192,7 @@
         req = self.requests[e.id] = Pending(
             e, self.s.classes[e.cls], a, units, self.now, self.now + e.patience)
         self.set_deadline(e.id, e.patience - 2 * self.s.tick)
-        req.inside = self.admits(a, e.units, share)
+        req.inside = self.part > 0 and self.admits(a, e.units, share)
         worth_it = req.inside or a.plan.over_worth > a.plan.over_cost
         if worth_it and not (a.plan.ceiling_rate and a.ceiling < e.units):
             return self.dispatch(req)
@@ -308,7 +308,7 @@
 
     def cold_room(self, server: Server, req: Pending) -> bool:
         """Whether a cold server stands one more request of this gateway's."""
-        sharers = self.s.gateways * len(self.mine) / len(self.servers)
+        sharers = self.s.gateways * len(self.mine) / len(self.servers) / (self.part or 1.0)
         return self.cold.room(server, self.now, self.work_of(req), sharers)
 
     def choose(self, req: Pending) -> Server | None:
--- a/corkdeal/early.py
+++ b/corkdeal/early.py
@@ -20,7 +20,8 @@
     decisions.now = now
     a = decisions.account(e.customer, e.plan, e.first_gateway, e.spread)
     share = decisions.refill(a)
-    if not a.plan.rate or decisions.admits(a, e.units, share) or a.plan.over_worth > a.plan.over_cost:
+    inside = decisions.part > 0 and decisions.admits(a, e.units, share)
+    if inside or not a.plan.rate or a.plan.over_worth > a.plan.over_cost:
         return None
     a.asked_at = now
     if a.wide:
--- a/corkdeal/knowledge/recall.py
+++ b/corkdeal/knowledge/recall.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from .. import interface as t
@@ -131,6 +131,20 @@
             at=m.at + shift, asked_at=min(now, m.asked_at + shift), level=min(level, plan.burst),
             demand=max(0.0, m.demand), pairs=tuple(p._replace(told_at=p.told_at + shift) for p in m.pairs))
 
+    def accounts(self, now: float) -> Iterator[tuple[int, int, AccountMemory]]:
+        """All accounts that still count, each with its customer and its plan's number."""
+        numbers = {p.name: i for i, p in enumerate(self.settings.plans)}
+        for customer, raw in list(self.raw.items()):
+            try:
+                m = read_account(raw)
+            except ValueError:
+                self.counts["knowledge_account_malformed"] += 1
+                continue
+            plan = numbers.get(m.plan, 0)
+            made = self.account(customer, self.settings.plans[plan], m.first, m.spread, now)
+            if made is not None:
+                yield customer, plan, made
+
     def unlisted(self, now: float, boot: float) -> list[ServerMemory]:
         """Records of servers that no list has named yet, in this boot's seconds; none when too old."""
         if self.servers and self.age_of(self.head.clock.boot, now) >= ageing.SLOWNESS.horizon:
--- a/corkdeal/memory.py
+++ b/corkdeal/memory.py
@@ -99,6 +99,7 @@
     born: int = 0  # this gateway's incarnation, ms modulo 2**32
     round: int = 0  # of its messages
     peers: tuple[tuple[int, int], ...] = ()  # incarnations of the others
+    part: float = 1.0  # of this gateway's quota that the life had; the rest was another life's
 
 
 class Memory(Protocol):
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -7,7 +7,7 @@
 import random
 import time
 import traceback
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from twisted.internet.error import CannotListenError
 
@@ -30,6 +30,9 @@
 from .subchannel import Attempt, Pool, Reply
 from .timers import Timers
 
+if TYPE_CHECKING:
+    from .succession import Succession
+
 START_WAIT = 0.25  # s that a start waits for discovery's first word before it goes by `known`
 STAY_UP = 0.5  # s after SIGTERM that new connections are taken; they keep coming for 0.4
 PROBE_TIMEOUT = 0.25  # s
@@ -62,7 +65,9 @@
         self.busy = False
         self.timers = Timers(reactor, self.now, self.due)
         self.port: Any = None
-        self.started = self.draining = self.ending = False
+        self.begun = self.started = self.draining = self.ending = False
+        self.peer_port: Any = None
+        self.succession: Succession | None = None  # of lives, where the listening socket is handed down
         self.before_end: list[Any] = []  # whose `stop(done)` is called after the last answer
         self.reported = ""
         self.ops_port: Any = None
@@ -85,6 +90,7 @@
 
     def start(self) -> None:
         """Begin with the list last known; clients are let in once discovery has spoken, or soon anyway."""
+        self.begun = True
         known = self.config.known
         if known:
             self.backends.take(known, t.ListKind.CACHED)
@@ -101,17 +107,23 @@
 
     def hear(self) -> None:
         """Take the peers' datagrams. Beside the process it replaces, that one has the port until it ends."""
-        if not self.config.peer_listen:
+        if not self.config.peer_listen or (self.succession is not None and self.succession.waits):
             return
         host, port = self.config.peer_listen
         try:
-            self.reactor.listenUDP(port, self.peering, interface=host, maxPacketSize=1024)
+            self.peer_port = self.reactor.listenUDP(port, self.peering, interface=host, maxPacketSize=1024)
         except CannotListenError:
             if self.config.inherited is None:
                 raise
             count("peer_port_taken")
             self.reactor.callLater(SWEEP_EVERY, self.hear)
 
+    def be_silent(self) -> None:
+        """Speak with peers no more: another life of this gateway does."""
+        if self.peer_port is not None:
+            port, self.peer_port = self.peer_port, None
+            port.stopListening()
+
     def open(self) -> None:
         """Let clients in; from here on PING is answered. A listening socket handed down is taken as it is."""
         if not self.started and not self.draining:
@@ -153,6 +165,8 @@
 
     def close(self) -> None:
         """Take no new connections; what was taken is still answered."""
+        if self.succession is not None:
+            self.succession.end()
         if self.port:
             self.port.stopListening()
         for each in list(self.channels):
--- a/corkdeal/net/program.py
+++ b/corkdeal/net/program.py
@@ -28,10 +28,25 @@
 
     def start(self) -> None:
         """Begin to serve; knowledge is in force by now."""
-        self.gateway.start()
+        if self.config.inherited is None:
+            self.gateway.start()
+        else:
+            self.succeed()
         if self.keeper:
             self.keeper.start()
 
+    def succeed(self) -> None:
+        """Begin beside the process before this one, if there is one, with what it gives."""
+        from .succession import Succession
+        try:
+            self.gateway.succession = Succession(self.reactor, self.gateway)
+            self.gateway.succession.begin(self.gateway.start)
+        except OSError as error:
+            self.gateway.succession = None
+            count("handover_off")
+            logs.event("handover_off", error=str(error)[:200])
+            self.gateway.start()
+
     def keep(self, options: Options) -> Keeper:
         """Make the keeper of knowledge."""
         from ..knowledge.keeper import Keeper
--- /dev/null
+++ b/corkdeal/net/succession.py
@@ -0,0 +1,167 @@
+"""An upgrade: this process takes over from the one before it, and later hands on to the next.
+
+Made only where the clients' listening socket is handed down, which is how the platform starts a new version
+beside the old one. Both share the temporary folder and nothing else. `docs/upgrade.md` says who spends what
+at which moment; `corkdeal/succession.py` divides the quotas, `knowledge/lives.py` keeps the files.
+"""
+
+from __future__ import annotations
+
+import os
+import tempfile
+from collections.abc import Callable
+from typing import Any
+
+from .. import __version__, logs, succession
+from ..knowledge import clock
+from ..knowledge.collect import Collector
+from ..knowledge.document import Document, encode
+from ..knowledge.lives import FIRST, REST, Lives
+from ..knowledge.recall import Recall
+from ..knowledge.store import folder_of
+from .invariants import count, counts
+
+ASK_EVERY, ASK_MOST = 0.02, 1.0  # s between looks for what the old life gives, and until it starts without
+LOOK_EVERY = 0.1  # s between looks for another life's start or end
+
+
+class Succession:
+    """This life's place between the one before and the one after it."""
+
+    def __init__(self, reactor: Any, gateway: Any) -> None:
+        self.reactor, self.gateway, self.decisions = reactor, gateway, gateway.decisions
+        folder = os.path.join(tempfile.gettempdir(), "corkdeal-lives")
+        self.lives = Lives(folder_of(folder, gateway.config.name))
+        self.before: int | None = None  # the life that still holds a part of the quota
+        self.given: succession.Given | None = None  # what it gave at first
+        self.kept_there = 0.0  # its part
+        self.after: int | None = None  # the life that holds a part that came from here
+        self.part_there = 0.0
+        self.done = False  # all was handed on
+        self.asked = 0
+
+    @property
+    def waits(self) -> bool:
+        """Whether the life before still has the ledgers, and is known to give them."""
+        return self.before is not None and self.given is not None
+
+    # The new life
+
+    def begin(self, start: Callable[[], None]) -> None:
+        """Start, with what the life before gives where there is one."""
+        self.before = self.lives.join()
+        self.reactor.callLater(LOOK_EVERY, self.look)
+        if self.before is None:
+            return start()
+        self.ask(start)
+
+    def ask(self, start: Callable[[], None]) -> None:
+        """Wait for its first document, but not for long: a process before this one may know nothing of it."""
+        document = self.read(FIRST)
+        self.asked += 1
+        if document is None and not self.lives.lives(self.before):
+            self.before = self.lives.predecessor()  # it ended meanwhile, and the one before it may live
+            if self.before is None:
+                return start()
+        if document is None and self.asked * ASK_EVERY < ASK_MOST:
+            return self.reactor.callLater(ASK_EVERY, self.ask, start)
+        if document is None:
+            count("handover_none")
+            logs.event("handover_none", life=self.lives.me, before=self.before)
+        else:
+            whole = document.head.fleet.part
+            self.kept_there = whole * (1 - succession.NEW_PART)
+            self.given = succession.Given(self.recall(document), succession.NEW_PART)
+            self.decisions.remember(self.given)
+            self.decisions.part = whole * succession.NEW_PART
+            logs.event("handover_begun", life=self.lives.me, before=self.before,
+                       accounts=sum(map(len, document.accounts)), part=round(self.decisions.part, 3))
+        start()
+
+    def follow(self) -> None:
+        """The rest of what the life before holds, once it is given or that life has ended.
+
+        Until then that life speaks with the peers, and what they don't say to this one says nothing.
+        """
+        self.decisions.peer_heard = dict.fromkeys(self.decisions.neighbours, self.gateway.now())
+        ended = not self.lives.lives(self.before)  # looked at first: it may write and end in between
+        document, now = self.read(REST), self.gateway.now()
+        if document is None and not ended:
+            return
+        if document is None:
+            count("handover_cut_short")
+            succession.take_rate(self.decisions, now, self.kept_there)
+        else:
+            part = document.head.fleet.part
+            succession.take_rest(self.decisions, now, self.given, self.recall(document), part)
+        logs.event("handover_done", life=self.lives.me, before=self.before, rest=document is not None,
+                   part=round(self.decisions.part, 3))
+        self.before = None
+        self.gateway.hear()
+
+    def read(self, what: str) -> Document | None:
+        """A document for this life; one that can't be read counts as none, and is logged."""
+        try:
+            return self.lives.read(self.before, what)
+        except (OSError, ValueError) as error:
+            count("handover_unreadable")
+            logs.event("handover_unreadable", what=what, before=self.before, error=str(error)[:200])
+            return None
+
+    def recall(self, document: Document) -> Recall:
+        """Its records, aged to now."""
+        age, _ = clock.age(document.head.clock, clock.read_clocks())
+        return Recall(document, age, self.gateway.now(), self.gateway.settings, lambda name: "", counts)
+
+    # The old life
+
+    def look(self) -> None:
+        """What became of the lives before and after this one."""
+        if self.done:
+            return
+        self.reactor.callLater(LOOK_EVERY, self.look)
+        if self.waits and self.gateway.begun:
+            self.follow()
+        if self.after is not None and not self.lives.lives(self.after):
+            logs.event("handover_taken_back", life=self.lives.me, after=self.after)
+            succession.take_rate(self.decisions, self.gateway.now(), self.part_there)
+            self.after = None
+        if self.after is None and (after := self.lives.successor()) is not None and self.gateway.begun:
+            self.give(after)
+
+    def give(self, after: int) -> None:
+        """The next life has started: its part, and all that is known."""
+        if self.write(after, FIRST):
+            self.after, self.part_there = after, self.decisions.part * succession.NEW_PART
+            succession.keep(self.decisions, 1 - succession.NEW_PART)
+            logs.event("handover_given", life=self.lives.me, after=after, part=round(self.part_there, 3))
+
+    def end(self) -> None:
+        """This life takes no new clients any more: the rest goes to the next one, if it had its part."""
+        if self.after is None or self.done or not self.lives.lives(self.after):
+            return
+        if self.write(self.after, REST):
+            self.done = True
+            succession.keep_nothing(self.decisions)
+            self.gateway.be_silent()
+            logs.event("handover_rest", life=self.lives.me, after=self.after)
+
+    def write(self, to: int, what: str) -> bool:
+        """One document of all that is known, made in one turn, so that what is divided is what it says."""
+        now = self.gateway.now()
+        succession.settle(self.decisions, now)
+        touched = self.decisions.touched  # a keeper of knowledge, if there is one, goes by it
+        collector = Collector(self.decisions, self.gateway.config.name, __version__)
+        try:
+            for _ in collector.steps(self.gateway.now, clock.read_clocks, lambda: 0.0):
+                pass
+            head = collector.head(now, clock.read_clocks(), 0.0, True, {})
+            pages = list(collector.pages())
+            self.lives.write(to, what, lambda life: encode(life, head, pages))
+        except (OSError, ValueError) as error:
+            count("handover_not_written")
+            logs.event("handover_not_written", what=what, after=to, error=str(error)[:200])
+            return False
+        finally:
+            self.decisions.touched = touched
+        return True
--- a/corkdeal/plumbing.py
+++ b/corkdeal/plumbing.py
@@ -40,6 +40,7 @@
         self.token, self.round, self.ticking, self.begun = 0, 0, False, False
         self.earlier: memory.Memory | None = None  # of an earlier life
         self.touched: set[int] | None = None  # customers met since a keeper last looked, if there is one
+        self.part = 1.0  # of this gateway's quota that is this life's, while two of them serve
         self.born = 0  # own incarnation, ms; 0 until the first event
         self.peer_born: dict[int, int] = {}
         self.peer_heard: dict[int, float] = {}
@@ -87,7 +88,7 @@
         work = tuple([memory.WorkMemory(self.s.classes[cls].name, size, seconds)
                       for (cls, size), seconds in self.work.items()])
         return memory.FleetMemory(self.pace, self.slow, self.retries_left, work, self.s.me, self.s.gateways,
-                                  self.born, self.round, tuple(self.peer_born.items()))
+                                  self.born, self.round, tuple(self.peer_born.items()), self.part)
 
     def new_server(self, entry: t.ServerEntry) -> Server:
         """A server that the list names for the first time, with what an earlier life knew of it."""
--- /dev/null
+++ b/corkdeal/succession.py
@@ -0,0 +1,110 @@
+"""One gateway's quota between two lives of it, while a new version starts beside the old one; without I/O.
+
+The old life gives the new one a part of each bucket, of each rate and of its saved-up retries, and all that
+it knows; later the rest. Each bucket's level and rate are divided, never copied, so both lives together let
+in what one gateway may. The old one goes on with the ledgers until the rest is given, then the new one
+does.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, Protocol
+
+from . import interface as t
+from . import memory
+
+if TYPE_CHECKING:
+    from .brain import Gateway
+
+NEW_PART = 0.3  # given at first: clients keep their connections, so most still comes to the old one
+
+
+def settle(decisions: Gateway, now: float) -> None:
+    """Bring all buckets up to now, so that their records can be made and divided in the same moment."""
+    decisions.now = now
+    for a in decisions.accounts.values():
+        decisions.refill(a)
+
+
+def keep(decisions: Gateway, part: float) -> None:
+    """Keep that part of all that is spent here; the rest was given."""
+    decisions.part *= part
+    decisions.retries_left *= part
+    for a in decisions.accounts.values():
+        a.level, a.ceiling = a.level * part, a.ceiling * part
+
+
+def keep_nothing(decisions: Gateway) -> None:
+    """All was given, the ledgers too: neighbours trade with the new life, and back nothing here."""
+    keep(decisions, 0.0)
+    decisions.neighbours.clear()
+    decisions.lively.clear()
+    for a in decisions.accounts.values():
+        a.pairs, a.edges = {}, {}
+
+
+class Rest(memory.Memory, Protocol):
+    """A memory that can give all its accounts at once."""
+
+    def accounts(self, now: float) -> Iterable[tuple[int, int, memory.AccountMemory]]:
+        """Customer, the plan's number and the record of each."""
+
+
+class Given:
+    """A `memory.Memory` of which only a part was given, at `part` of what it says."""
+
+    def __init__(self, known: memory.Memory, part: float) -> None:
+        self.known, self.part = known, part
+        self.totals: dict[int, tuple[float, float]] = {}  # what was asked and spent when an account came over
+
+    def fleet(self, now: float, first_work: dict[str, float]) -> memory.FleetMemory:
+        """The fleet's record."""
+        made = self.known.fleet(now, first_work)
+        return made._replace(retries=made.retries * self.part)
+
+    def resumes(self) -> bool:
+        """The slices are those of the ledgers; the old life goes on with them for now."""
+        return self.known.resumes()
+
+    def server(self, entry: t.ServerEntry, now: float) -> memory.ServerMemory | None:
+        """A server's record, whole: what is known is not spent."""
+        return self.known.server(entry, now)
+
+    def account(self, customer: int, plan: t.Plan, first: int, spread: int,
+                now: float) -> memory.AccountMemory | None:
+        """The part of an account that was given."""
+        m = self.known.account(customer, plan, first, spread, now)
+        if m is None:
+            return None
+        self.totals[customer] = m.asked, m.spent
+        return m._replace(level=m.level * self.part, ceiling=m.ceiling * self.part, demand=0.0)
+
+
+def take_rest(decisions: Gateway, now: float, first: Given, rest: Rest, part: float) -> None:
+    """The old life spends no more: its rest, its ledgers and its place among the peers come over.
+
+    All accounts come at once, those not met here too, so that a third life finds them all.
+    """
+    settle(decisions, now)
+    fleet = rest.fleet(now, {})
+    decisions.retries_left += fleet.retries
+    decisions.born, decisions.round, decisions.peer_born = fleet.born, fleet.round, dict(fleet.peers)
+    come = [(customer, decisions.account(customer, plan, m.first, m.spread), m)
+            for customer, plan, m in rest.accounts(now)]
+    settle(decisions, now)  # those that were not met have their first part now, under its bound
+    decisions.part += part
+    for customer, a, m in come:
+        asked, spent = first.totals.get(customer, (0.0, 0.0))
+        mine = a.level, a.ceiling, a.demand, a.asked - asked, a.spent - spent, a.asked_at
+        memory.put_account(a, m, rest.resumes(), decisions.peer_born)
+        a.level, a.ceiling, a.demand = a.level + mine[0], a.ceiling + mine[1], a.demand + mine[2]
+        a.asked, a.spent, a.asked_at = a.asked + mine[3], a.spent + mine[4], max(a.asked_at, mine[5])
+        decisions.lively.update({customer: a} if a.pairs else {})
+    decisions.earlier = rest  # of servers that no list has named yet
+
+
+def take_rate(decisions: Gateway, now: float, part: float) -> None:
+    """The other life ended without a word: its rate comes over, and what its buckets held is lost."""
+    settle(decisions, now)
+    decisions.part += part
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -6,7 +6,7 @@
 import sys
 
 ROOT = pathlib.Path(__file__).parents[1]
-DECIDING = {"brain", "cold", "plumbing", "state", "peers", "memory", "early", "interface"}
+DECIDING = {"brain", "cold", "plumbing", "state", "peers", "memory", "early", "succession", "interface"}
 PURE = {
     "interface": set(),
     "state": {"interface", "peers"},
@@ -14,8 +14,9 @@
     "cold": {"interface", "state"},
     "memory": {"interface", "state"},
     "plumbing": {"interface", "memory", "peers", "state"},
-    "brain": DECIDING - {"brain", "early"},
+    "brain": DECIDING - {"brain", "early", "succession"},
     "early": {"interface", "brain"},
+    "succession": {"interface", "memory", "brain"},
 }
 MAY = {  # package or module -> those it may import
     **PURE,
--- /dev/null
+++ b/tests/test_succession.py
@@ -0,0 +1,260 @@
+"""Two lives of one gateway: what both let in, what is handed on, and each moment at which one may end."""
+
+import collections
+import dataclasses
+import re
+import signal
+import socket
+import threading
+import time
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from corkdeal import interface as t
+from corkdeal import succession
+from corkdeal.brain import Gateway
+from corkdeal.knowledge import clock, document
+from corkdeal.knowledge.collect import Collector
+from corkdeal.knowledge.lives import FIRST, REST, Lives
+from corkdeal.knowledge.recall import Recall
+
+from .net_world import PATIENCE, Program, served
+
+PLAN = t.Plan(rate=2.0, burst=6.0, name="p")
+ONE = t.Settings(me=0, gateways=1, classes=(t.RequestClass(aim=1.0, deadline=3.0, name="c"),), plans=(PLAN,))
+SERVER = t.ServerList(t.ListKind.FULL, (t.ServerEntry("a", t.ServerState.READY),))
+EPOCH = 1000.0
+
+
+class Life:
+    """One life's decisions on a clock that the test moves."""
+
+    def __init__(self, settings=ONE, known=None, part=1.0, now=EPOCH):
+        self.d, self.rid, self.now = Gateway(settings, seed=1), 0, now
+        if known is not None:
+            self.d.remember(known)
+        self.d.part = part
+        self.d.handle(now, [SERVER])
+
+    def ask(self, now, customer=7, spread=1, units=1.0):
+        """Whether a request is sent on; it is answered at once."""
+        self.now, self.rid = now, self.rid + 1
+        out = self.d.handle(now, [t.Request(self.rid, customer, 0, 0, units, 0, spread, 3.0)])
+        sent = any(isinstance(a, t.Send) for a in out)
+        if sent:
+            self.d.handle(now, [t.Outcome(self.rid, 0, "a", t.Status.OK, 0.1, True)])
+        return sent
+
+    def document(self, now):
+        """What it hands on, through its bytes."""
+        succession.settle(self.d, now)
+        reading = lambda: clock.Reading(now, now, "boot")  # noqa: E731
+        made = Collector(self.d, "n0", "test")
+        list(made.steps(lambda: now, reading, lambda: 0.0))
+        parts = document.encode(1, made.head(now, reading(), 0.0, True, {}), list(made.pages()))
+        return document.decode(b"".join(parts))[2]
+
+    def recall(self, made, now):
+        """Its records, as the next life reads them."""
+        return Recall(made, now - made.head.clock.boot, now, self.d.s, lambda _: "", collections.Counter())
+
+
+def hand_first(old, now):
+    made = old.document(now)
+    succession.keep(old.d, 1 - succession.NEW_PART)
+    first = succession.Given(old.recall(made, now), succession.NEW_PART)
+    return Life(old.d.s, first, made.head.fleet.part * succession.NEW_PART, now), first, made.head.fleet.part
+
+
+def hand_rest(old, new, first, now):
+    made = old.document(now)
+    succession.keep_nothing(old.d)
+    succession.take_rest(new.d, now, first, new.recall(made, now), made.head.fleet.part)
+
+
+STEPS = st.lists(st.tuples(st.sampled_from(["old", "new", "old", "wait", "give", "rest", "kill"]),
+                           st.floats(0.0, 1.5)), max_size=60)
+
+
+@given(STEPS, st.integers(1, 3))
+def test_both_lives_together_let_in_no_more_than_one_may(steps, customers):
+    old, now, sent = Life(), EPOCH, dict.fromkeys(range(customers), 0)
+    new = first = None
+    part_there = 0.0
+    for what, n in steps:
+        customer = int(n * 100) % customers
+        if what == "wait":
+            now += n
+        elif what == "give" and new is None:
+            new, first, whole = hand_first(old, now)
+            part_there = whole * (1 - succession.NEW_PART)
+        elif what in ("rest", "kill") and new is not None and old is not None:
+            if what == "rest":
+                hand_rest(old, new, first, now)
+                assert not any(old.ask(now, c) for c in range(customers))
+            else:
+                succession.take_rate(new.d, now, part_there)
+            old = None
+            assert new.d.part == pytest.approx(1.0)
+        elif what in ("old", "new") and (life := old if what == "old" else new) is not None:
+            sent[customer] += life.ask(now, customer)
+        for units in sent.values():
+            assert units <= PLAN.burst + PLAN.rate * (now - EPOCH) + 1e-6
+
+
+def test_what_the_old_life_held_is_in_the_new_ones_hands_at_the_end():
+    old = Life()
+    assert old.ask(EPOCH, customer=7) and old.ask(EPOCH, customer=8)
+    new, first, _ = hand_first(old, EPOCH)
+    assert new.ask(EPOCH, customer=7)  # met by the new life; the other one's account comes over unasked
+    hand_rest(old, new, first, EPOCH)
+    levels = {c: a.level for c, a in new.d.accounts.items()}
+    assert levels == {7: pytest.approx(PLAN.burst - 2), 8: pytest.approx(PLAN.burst - 1)}
+    third, _, whole = hand_first(new, EPOCH)
+    assert whole == pytest.approx(1.0) and third.d.part == pytest.approx(succession.NEW_PART)
+
+
+def test_peers_go_on_with_the_new_life_where_they_were_with_the_old():
+    two = dataclasses.replace(ONE, gateways=2, may_tell_peers=True, peer_intake=60)
+    peer, now, lives = Life(dataclasses.replace(two, me=1)), EPOCH, [Life(two)]
+
+    def talk(seconds):
+        nonlocal now
+        for _ in range(int(seconds / 0.05)):
+            now += 0.05
+            life = lives[-1]
+            life.ask(now, 7, spread=2, units=0.2)
+            for one, other in ((life, peer), (peer, life)):
+                out = one.d.handle(now, [t.TimerDue(0)])
+                for _ in range(4):  # to and fro until nothing is left to say
+                    told = [t.PeerMessage(one.d.s.me, a.payload) for a in out if isinstance(a, t.Tell)]
+                    one, other = other, one
+                    out = one.d.handle(now, told) if told else []
+
+    def total():
+        return sum(life.d.accounts[7].base() for life in (lives[-1], peer))
+
+    talk(4.0)
+    share, born = lives[0].d.accounts[7].base(), lives[0].d.born
+    assert share > 0.7 and total() == pytest.approx(1.0, abs=1e-3)
+    new, first, _ = hand_first(lives[0], now)
+    hand_rest(lives[0], new, first, now)
+    lives.append(new)
+    assert new.d.accounts[7].base() == pytest.approx(share) and new.d.born == born
+    known = peer.d.peer_born[0]
+    talk(2.0)
+    assert peer.d.peer_born[0] == known == born  # no restart seen, and the ledger went on
+    assert total() == pytest.approx(1.0, abs=1e-3) and new.d.accounts[7].base() > 0.6
+
+
+def test_a_document_reaches_only_the_life_that_it_was_made_for(tmp_path):
+    lives = [Lives(str(tmp_path)) for _ in range(3)]
+    old, new, third = lives
+    made = lambda life: document.encode(life, Life().document(EPOCH).head, [])  # noqa: E731
+    assert old.join() is None and new.join() == old.me == old.successor() - 1
+    old.write(new.me, FIRST, made)
+    assert new.read(old.me, FIRST) is not None and new.read(old.me, REST) is None
+    new.close()  # it ends before it served
+    assert not old.lives(2) and old.successor() is None
+    assert third.join() == old.me and third.me == 3  # a number is never given twice
+    assert third.read(old.me, FIRST) is None
+    old.write(third.me, REST, made)
+    name = next(p for p in tmp_path.iterdir() if p.name.endswith("-3.rest"))
+    name.write_bytes(name.read_bytes()[:-1])
+    with pytest.raises(ValueError, match="byte"):
+        third.read(old.me, REST)
+    old.close()
+    fourth = Lives(str(tmp_path))
+    assert fourth.join() == 3 and not any("-3.rest" in p.name for p in tmp_path.iterdir())
+
+
+class Upgrade(Program):
+    """Real processes on one listening socket; customer 1 may have two units, and hardly any later."""
+
+    build = ("-O",)
+
+    def begin(self):
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        self.fds = (listener.fileno(),)
+        self.more_env = {"RELAY_INHERITED_FD": str(listener.fileno())}
+        self.start(config={"listen": f"127.0.0.1:{listener.getsockname()[1]}"}, a={})
+        self.rid = 0
+
+    def next_life(self):
+        """Start it beside the one that serves; the old process and its log."""
+        old = self.process
+        self.addCleanup(lambda: (old.kill(), old.wait(), old.stdout.close()))
+        self.run_program()
+        return old
+
+    def follow(self, process, text):
+        for line in process.stdout:
+            if text in line:
+                return line
+        self.fail(f"ended without {text!r}")
+
+    def spend(self, client):
+        """Whether a request of customer 1 is let in."""
+        self.rid += 1
+        self.ask(client, customer=1, rid=self.rid)
+        served_ = threading.Thread(target=self.serve, daemon=True)
+        served_.start()
+        answer = client.read()
+        self.world.asked.put(None)  # where it was refused nobody asks the backend
+        served_.join(PATIENCE)
+        while not self.world.asked.empty():
+            self.world.asked.get()
+        return answer == [b"v"]
+
+    def serve(self):
+        """The backend's next request, if one comes."""
+        if (asked := self.world.next()) is not None:
+            asked.conn.send(served())
+
+    def let_in(self, client, tries=4):
+        return sum(self.spend(client) for _ in range(tries))
+
+    def test_the_new_life_goes_on_from_the_old_ones_buckets(self):
+        self.begin()
+        client = self.client()
+        self.assertEqual(self.let_in(client), 2)
+        old = self.next_life()
+        self.assertIn("accounts=1", self.line("handover_begun"))
+        self.line("serving ")
+        self.assertEqual(self.let_in(client), 0)
+        old.send_signal(signal.SIGTERM)
+        self.follow(old, "handover_rest")
+        self.assertIn("part=1.0", self.line("handover_done"))
+        self.assertEqual(old.wait(PATIENCE), 0)
+        self.assertEqual(self.let_in(self.client()), 0)
+
+    def test_an_old_life_killed_without_a_word_leaves_its_rate_and_a_dead_new_one_gives_it_back(self):
+        self.begin()
+        self.assertEqual(self.let_in(self.client()), 2)
+        old = self.next_life()
+        self.line("serving ")
+        self.process.kill()  # the new one, before it did anything
+        self.process.wait()
+        self.follow(old, "handover_taken_back")
+        dead = self.process
+        self.addCleanup(dead.stdout.close)
+        self.run_program()  # a third start, with what is made for it
+        self.assertIn("life=3", self.line("handover_begun"))
+        self.line("serving ")
+        old.kill()
+        self.assertTrue(re.search("rest=False part=1.0", self.line("handover_done")))
+        self.assertEqual(self.let_in(self.client()), 0)
+        client, began = self.client(), time.monotonic()
+        while not self.let_in(client, 1) and time.monotonic() - began < 2 * PATIENCE:
+            time.sleep(0.1)  # it has the whole rate: 0.1 a second
+        self.assertLess(time.monotonic() - began, 2 * PATIENCE)
+
+    def test_a_shared_folder_that_cannot_be_used_costs_the_handover_only(self):
+        with open(f"{self.folder.name}/corkdeal-lives", "w"):
+            pass
+        self.begin()
+        self.assertTrue(any("handover_off" in line for line in self.lines))
+        self.assertEqual(self.let_in(self.client()), 2)
