Stop a long command at its broken connection, and start whatever the shared folder does

Cause, found by reading the change again: a long command on a connection that breaks went on being written, each batch an error, and was then taken for whole, so that its end was told as a reset and not as a failed connect; an error of the shared folder while a new life waited for its first document would have kept it from starting at all. Change: gather.write tells whether the connection is broken, and a Sender stops there; an error of the folder ends the hand-over only, and the new life takes the whole rate. Measured: one write in place of all, the outcome is a failed connect; a folder removed while it serves harms nothing.

--- a/corkdeal/net/body.py
+++ b/corkdeal/net/body.py
@@ -121,8 +121,8 @@
                 self.over = True
                 self.transport.unregisterProducer()
                 self.done()
-            else:
-                gather.write(self.transport, batch)
+            elif not gather.write(self.transport, batch):
+                self.over = True  # it never came whole, which its subchannel goes by
 
     def stopProducing(self) -> None:
         """The connection has ended; its subchannel hears of that."""
--- a/corkdeal/net/gather.py
+++ b/corkdeal/net/gather.py
@@ -19,22 +19,28 @@
     return bool(transport.dataBuffer or transport._tempDataBuffer)
 
 
-def write(transport: Any, parts: list[Part]) -> None:
-    """Write parts by one sendmsg; only what the socket does not take at once is left to the transport."""
+def write(transport: Any, parts: list[Part]) -> bool:
+    """Write parts by one sendmsg; only what the socket does not take at once is left to the transport.
+
+    False on a connection that is broken.
+    """
     if len(parts) > MOST_PARTS:
         parts = [b"".join(parts)]
     if pending(transport):
-        return transport.writeSequence([bytes(p) for p in parts])
+        transport.writeSequence([bytes(p) for p in parts])
+        return True
     try:
         sent = transport.getHandle().sendmsg(parts)
     except BlockingIOError:
         sent = 0
     except OSError:  # broken; the loss is reported at the next turn
         count("write_on_broken_connection")
-        return transport.abortConnection()
+        transport.abortConnection()
+        return False
     for part in parts:
         if sent >= len(part):
             sent -= len(part)
         else:
             transport.write(bytes(memoryview(part)[sent:]))
             sent = 0
+    return True
--- a/corkdeal/net/subchannel.py
+++ b/corkdeal/net/subchannel.py
@@ -68,7 +68,8 @@
         """Write an attempt; from its first byte on it counts as sent."""
         self.attempt, attempt.conn = attempt, self
         if attempt.rpc is None or attempt.rpc.body is None:
-            return gather.write(self.transport, attempt.parts)
+            gather.write(self.transport, attempt.parts)
+            return
         self.sender = Sender(self.transport, attempt.parts, self.sent)
         self.sender.start()
 
--- a/corkdeal/net/succession.py
+++ b/corkdeal/net/succession.py
@@ -59,10 +59,13 @@
         """Wait for its first document, but not for long: a process before this one may know nothing of it."""
         document = self.read(FIRST)
         self.asked += 1
-        if document is None and not self.lives.lives(self.before):
-            self.before = self.lives.predecessor()  # it ended meanwhile, and the one before it may live
-            if self.before is None:
-                return start()
+        try:
+            if document is None and not self.lives.lives(self.before):
+                self.before = self.lives.predecessor()  # it ended meanwhile, and the one before it may live
+        except OSError as error:  # the folder is gone: a start must not fail for that
+            self.off(error)
+        if self.before is None:
+            return start()
         if document is None and self.asked * ASK_EVERY < ASK_MOST:
             return self.reactor.callLater(ASK_EVERY, self.ask, start)
         if document is None:
@@ -120,6 +123,22 @@
         if self.done:
             return
         self.reactor.callLater(LOOK_EVERY, self.look)
+        try:
+            self.look_at_lives()
+        except OSError as error:
+            self.off(error)
+
+    def off(self, error: OSError) -> None:
+        """The folder can't be used any more. The rate is taken: whole too early beats a part for ever."""
+        count("handover_off")
+        logs.event("handover_off", error=str(error)[:200])
+        waits, self.before, self.done = self.waits, None, True
+        if waits:
+            succession.take_rate(self.decisions, self.gateway.now(), self.kept_there)
+            self.gateway.hear()
+
+    def look_at_lives(self) -> None:
+        """Follow the one before, and give to the one after or take back from it."""
         if self.waits and self.gateway.begun:
             self.follow()
         if self.after is not None and not self.lives.lives(self.after):
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -4,6 +4,7 @@
 import gc
 import json
 import re
+import unittest.mock
 import weakref
 from collections import deque
 
@@ -357,6 +358,17 @@
     assert again is not conn and without_wait(whole.taken) == without_wait(write(cls=b"pay", more=b""))
 
 
+def test_a_connection_that_breaks_under_a_long_command_never_had_it_whole():
+    pair = Pair()
+    pair.channel.dataReceived(write())
+    conn, wire = pair.reactor.tcpClients[-1][2].buildProtocol(None), Wire()
+    wire.sendmsg = unittest.mock.Mock(side_effect=BrokenPipeError)
+    conn.makeConnection(wire)
+    assert wire.aborted and wire.sendmsg.call_count == 1
+    conn.connectionLost()
+    assert pair.outcomes() == [t.Status.CONNECT_FAILED]
+
+
 EARLY = [(b"-BUSY\r\n", t.Status.FULL), (served(), t.Status.RESET), (HEAD + VALUE, t.Status.RESET)]
 
 
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import re
+import shutil
 import signal
 import socket
 import threading
@@ -252,6 +253,15 @@
             time.sleep(0.1)  # it has the whole rate: 0.1 a second
         self.assertLess(time.monotonic() - began, 2 * PATIENCE)
 
+    def test_a_folder_that_goes_away_while_it_serves_harms_nothing(self):
+        self.begin()
+        shutil.rmtree(f"{self.folder.name}/corkdeal-lives")
+        next_old = self.next_life()  # it finds no life before it, and both are whole
+        self.line("serving ")
+        next_old.send_signal(signal.SIGTERM)
+        self.assertEqual(next_old.wait(PATIENCE), 0)
+        self.assertEqual(self.let_in(self.client()), 2)
+
     def test_a_shared_folder_that_cannot_be_used_costs_the_handover_only(self):
         with open(f"{self.folder.name}/corkdeal-lives", "w"):
             pass
