--- a/benchmarks/bodies.py
+++ b/benchmarks/bodies.py
@@ -1,6 +1,7 @@
 """What long values cost by size, read and written: CPU, MB/s and memory, against other ways in the same run.
 
 PYTHONPATH=. python -O benchmarks/bodies.py [--tree DIR] [--out FILE]      # DIR: another revision's checkout
+PYTHONPATH=. python -O benchmarks/bodies.py --paired --tree DIR            # the usual request's CPU alone
 PYTHONPATH=. python -O benchmarks/bodies.py --crowd [--out FILE]           # 200 slow clients with 4 MiB each
 
 The other ways are Twisted's port forwarder, which looks at nothing, and the revision in DIR. Compare ratios.
@@ -15,6 +16,7 @@
 import pathlib
 import re
 import socket
+import statistics
 import subprocess
 import sys
 import tempfile
@@ -24,6 +26,7 @@
 
 ROOT = pathlib.Path(__file__).parents[1]
 SIZES = {4 << 10: 3000, 64 << 10: 1200, 1 << 20: 150, 4 << 20: 50}  # bytes a value: requests
+PAIRS, PAIR_REQUESTS = 20, 1200
 CLIENTS, CROWD, CROWD_S, MEMORY_MB = 4, 200, 20.0, 80
 TAIL = b"$-1\r\n$-1\r\n"
 FORWARDER = """
@@ -240,6 +243,33 @@
     return results
 
 
+def paired(tree: str, folder: str, to: int) -> dict[str, Any]:
+    """The usual request's CPU, this revision's over the other's, in many short turns: noise meets both."""
+    ways = {"this": ROOT, "before": pathlib.Path(tree).resolve()}
+    lives = {way: (port := free(), gateway(at, port, to, folder)) for way, at in ways.items()}
+    used: dict[str, list[float]] = {way: [] for way in ways}
+    try:
+        for port, _ in lives.values():
+            up(port)
+        for turn in range(PAIRS):
+            for way in sorted(ways, reverse=turn % 2 == 0):
+                port, process = lives[way]
+                began = cpu(process.pid)
+                load(port, 4096, PAIR_REQUESTS, False, False)
+                used[way].append((cpu(process.pid) - began) * 1e6 / PAIR_REQUESTS)
+    finally:
+        for _, process in lives.values():
+            process.kill()
+            process.wait()
+    ratios = [a / b for a, b in zip(used["this"], used["before"], strict=True)]
+    return {
+        "cpu_us_request": {way: round(statistics.median(each), 1) for way, each in used.items()},
+        "ratio_median": round(statistics.median(ratios), 3),
+        "ratio_quartiles": [round(q, 3) for q in statistics.quantiles(ratios, n=4)],
+        "pairs": PAIRS,
+    }
+
+
 def crowd(folder: str, to: int) -> dict[str, Any]:
     """Slow clients, half of which read and half write 4 MiB each, at a gateway with a small limit."""
     process = gateway(ROOT, port := free(), to, folder)
@@ -298,13 +328,17 @@
     asked.add_argument("--tree")
     asked.add_argument("--out")
     asked.add_argument("--crowd", action="store_true")
+    asked.add_argument("--paired", action="store_true")
     given = asked.parse_args()
     server = multiprocessing.Process(target=backend, args=(to := free(),), daemon=True)
     server.start()
     up(to)
     with tempfile.TemporaryDirectory() as folder:
-        results = crowd(folder, to) if given.crowd else compare(given.tree, folder, to)
-    if given.crowd:
+        if given.crowd:
+            results = crowd(folder, to)
+        else:
+            results = (paired if given.paired else compare)(given.tree, folder, to)
+    if given.crowd or given.paired:
         print(json.dumps(results, indent=1))
     if given.out:
         pathlib.Path(given.out).write_text(json.dumps(results, indent=1) + "\n")
