--- a/benchmarks/bodies.py
+++ b/benchmarks/bodies.py
@@ -98,25 +98,21 @@
         threading.Thread(target=follow, args=(listener.accept()[0],), daemon=True).start()
 
 
+def listed(to: int) -> dict[str, Any]:
+    """A list of backends that are all one process: many, so that none looks busy."""
+    line = {"host_port": f"127.0.0.1:{to}", "locality": "a", "flavor": "x", "cell": 0, "phase": "Ready"}
+    members = [{"id": f"s{i}", "size": 1.0, "up_since_ms": 0, **line} for i in range(CROWD)]
+    return {"revision": 1, "complete": True, "members": members}
+
+
+def keep(results: dict[str, Any], out: str | None) -> None:
+    """Write the results where asked."""
+    if out:
+        pathlib.Path(out).write_text(json.dumps(results, indent=1) + "\n")
+
+
 def gateway(tree: pathlib.Path, port: int, to: int, folder: str) -> subprocess.Popen[bytes]:
     """The program of a checkout, on the virtual environment that runs this."""
-    known = {
-        "revision": 1,
-        "complete": True,
-        "members": [
-            {
-                "id": f"s{i}",  # many of one process, so that none looks busy
-                "host_port": f"127.0.0.1:{to}",
-                "locality": "a",
-                "flavor": "x",
-                "cell": 0,
-                "phase": "Ready",
-                "size": 1.0,
-                "up_since_ms": 0,
-            }
-            for i in range(CROWD)
-        ],
-    }
     path = pathlib.Path(folder, f"{port}.json")
     path.write_text(
         json.dumps(
@@ -127,7 +123,7 @@
                 "seed": "1",
                 "limits": {"sockets": 2048, "memory_mb": MEMORY_MB},
                 "settings": settings(),
-                "known": known,
+                "known": listed(to),
             }
         )
     )
@@ -340,8 +336,7 @@
             results = (paired if given.paired else compare)(given.tree, folder, to)
     if given.crowd or given.paired:
         print(json.dumps(results, indent=1))
-    if given.out:
-        pathlib.Path(given.out).write_text(json.dumps(results, indent=1) + "\n")
+    keep(results, given.out)
     return 0
 
 
--- a/benchmarks/upgrade.py
+++ b/benchmarks/upgrade.py
@@ -25,7 +25,7 @@
 from collections import Counter
 from typing import Any
 
-from benchmarks.bodies import free, settings, up
+from benchmarks.bodies import free, keep, listed, settings, up
 
 ROOT = pathlib.Path(__file__).parents[1]
 ACCOUNTS, RATE, BURST, CLIENTS, BEFORE, AFTER = 20, 2.0, 6.0, 8, 2.0, 3.0
@@ -87,23 +87,6 @@
         socket.create_server(("127.0.0.1", 0)),
     )
     threading.Thread(target=backend, args=(inner, seen, lock), daemon=True).start()
-    known = {
-        "revision": 1,
-        "complete": True,
-        "members": [
-            {
-                "id": f"s{i}",
-                "host_port": f"127.0.0.1:{inner.getsockname()[1]}",
-                "locality": "a",
-                "flavor": "x",
-                "cell": 0,
-                "phase": "Ready",
-                "size": 1.0,
-                "up_since_ms": 0,
-            }
-            for i in range(20)
-        ],
-    }
     plans = [{"name": "p", "quota_rate": RATE, "store_size": BURST}]
     with tempfile.TemporaryDirectory() as folder:
         if way == "without":
@@ -116,7 +99,7 @@
                     "listen": f"127.0.0.1:{port}",
                     "discovery": f"127.0.0.1:{free()}",
                     "seed": "1",
-                    "known": known,
+                    "known": listed(inner.getsockname()[1]),
                     "settings": {**settings(), "tiers_of_service": plans},
                 }
             )
@@ -196,8 +179,7 @@
             }
             results[name]["seeds"] = given.seeds
     print(json.dumps(results, indent=1))
-    if given.out:
-        pathlib.Path(given.out).write_text(json.dumps(results, indent=1) + "\n")
+    keep(results, given.out)
     return 0
 
 
