Play schedules of faults on a tier of real gateways, and check what the outside saw

Need: every test with several processes was written anew, and none put a fault between gateways. Change: datagram links by pair and direction (loss, delay, jitter, reordering, doubling, one-way cuts), a door a gateway at each server and at discovery (refuse, silent, reset, slow, late lists), signals, starts and stored folders by a KDL schedule (corkdeal experiment tier), a history of tries, attempts and lists with a checker that knows no decision, and the figures of a run: time to full service, worth lost, peaks, units over quota. Gateways are killed with the process that runs the tier.

--- a/corkdeal/cli/experiment.py
+++ b/corkdeal/cli/experiment.py
@@ -72,3 +72,36 @@
     alarms = experiment.false_alarms(days, 60.0, rate)
     delays = [experiment.delays(days, rate, kind) for kind in experiment.TROUBLES]
     click.echo(json.dumps({"false_alarms": alarms, "delays": delays}, indent=1))
+
+
+@command.command("tier")
+@click.argument("schedule", type=click.Path(exists=True, dir_okay=False))
+@click.option(
+    "--seed", "seeds", type=int, multiple=True, default=(1,), show_default=True, help="Once for each."
+)
+@click.option("--out", type=click.Path(file_okay=False), required=True, help="Folder for logs and results.")
+@click.option(
+    "--program",
+    type=click.Path(exists=True, file_okay=False),
+    multiple=True,
+    help="Another checkout to run as well, as an arm of its own.",
+)
+@click.option(
+    "--together", type=click.IntRange(1, 8), default=1, show_default=True, help="Runs at the same time."
+)
+def tier(schedule: str, seeds: tuple[int, ...], out: str, program: tuple[str, ...], together: int) -> None:
+    """Play a schedule of faults on real gateways; exit code 1 where a rule was broken. See docs/tier.md."""
+    from ..experiment import arms
+    from ..options import OptionsError
+
+    try:
+        runs = arms.play_all(schedule, list(seeds), ["", *program], out, together)
+    except OptionsError as error:
+        for fault in error.faults:
+            click.echo(f"{schedule}: {fault}", err=True)
+        raise SystemExit(2) from None
+    click.echo(arms.table(runs))
+    broken = [b for run in runs if not run["arm"] for b in run["broken"]]
+    for each in broken[:10]:
+        click.echo(f"broken: {each['rule']}\n  " + "\n  ".join(each["lines"]))
+    raise SystemExit(1 if broken else 0)
--- /dev/null
+++ b/corkdeal/experiment/schedule.py
@@ -0,0 +1,235 @@
+"""A tier's schedule, read from KDL: what it is made of, and which faults begin when. A fault tells its place.
+
+    tier gateways=10 servers=20 load=0.7 seconds=40
+    at 15.0 { kill "70%"; }
+    at 15.6 { start "down"; }
+    timeline "lossy" begin=10.0 every=8.0 repeat=2 {
+        at 0.0 { link loss=0.12 seconds=4.0; }
+    }
+
+`docs/tier.md` lists the nodes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, fields
+from typing import Any, NamedTuple
+
+from ..options.reader import Fault, OptionsError, parse_as, text_of
+from ..options.records import many, placed, setting
+
+MOST_GATEWAYS, MOST_SERVERS, MOST_SECONDS = 20, 60, 600.0
+FOLDERS = ("empty", "save", "older", "swap", "cut-short", "blocked", "freed", "hour-old")
+SERVERS = ("slow", "well", "bad", "cold", "drain", "gone")
+
+
+def who(argument: int = 0) -> Any:
+    """`all`, `up`, `down`, `rest` (those not chosen last), numbers as `0,2`, or a share as `70%`."""
+    return setting("all", argument=argument)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Process:
+    """`kill`, `term`, `start`, `stop`, `continue`: a signal to some gateways, or their start."""
+
+    gateways: str = who()
+    place: Any = placed()
+
+
+@dataclass(frozen=True, kw_only=True)
+class Link:
+    """`link`: faults on datagrams from some gateways to others."""
+
+    sender: str = setting("all")
+    to: str = setting("all")
+    loss: float = setting(0.0, least=0.0, most=1.0)
+    delay: float = setting(0.0, least=0.0, most=10.0)
+    jitter: float = setting(0.0, least=0.0, most=10.0)
+    reorder: float = setting(0.0, least=0.0, most=1.0)
+    double: float = setting(0.0, least=0.0, most=1.0)
+    cut: bool = setting(False)
+    both: bool = setting(False)  # the other way as well
+    seconds: float = setting(MOST_SECONDS, least=0.0, most=MOST_SECONDS)
+    place: Any = placed()
+
+
+@dataclass(frozen=True, kw_only=True)
+class Folders:
+    """`folders`: what happens to the stored state of some gateways."""
+
+    gateways: str = who()
+    what: str = setting(choices=FOLDERS)
+    place: Any = placed()
+
+
+@dataclass(frozen=True, kw_only=True)
+class Door:
+    """`door`: faults on the TCP connections of some gateways to some servers, or to discovery."""
+
+    gateways: str = who()
+    servers: str = setting("all")  # as gateways are named, or `discovery`
+    refuse: bool = setting(False)
+    silent: bool = setting(False)
+    reset: float = setting(0.0, least=0.0, most=1.0)
+    slow: float = setting(0.0, least=0.0, most=10.0)
+    late: float = setting(0.0, least=0.0, most=60.0)  # s that discovery tells of a change later
+    seconds: float = setting(MOST_SECONDS, least=0.0, most=MOST_SECONDS)
+    place: Any = placed()
+
+
+@dataclass(frozen=True, kw_only=True)
+class Servers:
+    """`servers`: what happens to some servers."""
+
+    servers: str = who()
+    what: str = setting(choices=SERVERS)
+    times: float = setting(4.0, least=1.0, most=100.0)  # slower
+    place: Any = placed()
+
+
+KINDS = {
+    "kill": Process,
+    "term": Process,
+    "start": Process,
+    "stop": Process,
+    "continue": Process,
+    "link": Link,
+    "folders": Folders,
+    "door": Door,
+    "servers": Servers,
+}
+
+
+@dataclass(frozen=True, kw_only=True)
+class At:
+    """`at 15.0`: what happens then, in the order in which it stands."""
+
+    second: float = setting(least=0.0, most=MOST_SECONDS, argument=0)
+    kill: tuple[Process, ...] = many(Process, "kill")
+    term: tuple[Process, ...] = many(Process, "term")
+    start: tuple[Process, ...] = many(Process, "start")
+    stop: tuple[Process, ...] = many(Process, "stop")
+    go_on: tuple[Process, ...] = many(Process, "continue")
+    link: tuple[Link, ...] = many(Link, "link")
+    folders: tuple[Folders, ...] = many(Folders, "folders")
+    door: tuple[Door, ...] = many(Door, "door")
+    servers: tuple[Servers, ...] = many(Servers, "servers")
+    place: Any = placed()
+
+    def steps(self) -> Iterator[tuple[str, Any]]:
+        """Each step with its node's name, as they stand in the file."""
+        made = [
+            (step.place.at(), f.metadata["child"], step)
+            for f in fields(self)
+            if "many" in f.metadata
+            for step in getattr(self, f.name)
+        ]
+        yield from ((kind, step) for _, kind, step in sorted(made, key=lambda row: row[:2]))
+
+
+@dataclass(frozen=True, kw_only=True)
+class Timeline:
+    """`timeline "name"`: moments counted from its beginning, once or again and again."""
+
+    name: str = setting(argument=0)
+    begin: float = setting(0.0, least=0.0, most=MOST_SECONDS)
+    every: float = setting(0.0, least=0.0, most=MOST_SECONDS)
+    repeat: int = setting(1, least=1, most=1000)
+    at: tuple[At, ...] = many(At, "at")
+    place: Any = placed()
+
+
+@dataclass(frozen=True, kw_only=True)
+class Tier:
+    """`tier`: how many of what, and how much is asked."""
+
+    gateways: int = setting(5, least=2, most=MOST_GATEWAYS)
+    servers: int = setting(12, least=1, most=MOST_SERVERS)
+    load: float = setting(0.7, least=0.01, most=3.0)  # of the servers' capacity, inside quotas
+    seconds: float = setting(20.0, least=1.0, most=MOST_SECONDS)
+    knowledge: bool = setting(False)  # a folder a gateway, kept over its restarts
+    recovery: bool = setting(True)  # `recovery` in the operators' file, for programs that know it
+    cold: float = setting(16.0, least=0.1, most=60.0)  # s in which a new server warms up
+    settled: float = setting(5.0, least=0.5, most=MOST_SECONDS)  # s from which on it counts as usual service
+    place: Any = placed()
+
+
+@dataclass(frozen=True, kw_only=True)
+class Schedule:
+    """The whole file."""
+
+    tier: Tier | None = None
+    timelines: tuple[Timeline, ...] = many(Timeline, "timeline")
+    at: tuple[At, ...] = many(At, "at")
+
+
+class Step(NamedTuple):
+    """One thing that happens, and when."""
+
+    second: float
+    line: str  # the time line that it belongs to
+    kind: str
+    what: Any
+
+
+def load(path: str) -> Schedule:
+    """Read a schedule's file; `OptionsError` holds every fault with its place."""
+    return parse(text_of(path), path)
+
+
+def parse(text: str, path: str = "schedule") -> Schedule:
+    """Check a schedule's text, and that its steps name gateways and servers that there are."""
+    schedule, faults = parse_as(Schedule, text, path), []
+    tier = schedule.tier or Tier()
+
+    def fault(place: Any, node: str, said: str) -> None:
+        faults.append(Fault(*place.at(), node, said))
+
+    for line in schedule.timelines:
+        if line.repeat > 1 and not line.every:
+            fault(line.place, "timeline", "repeats, so `every` must say how many seconds apart")
+    for moment in (*schedule.at, *(at for line in schedule.timelines for at in line.at)):
+        for kind, step in moment.steps():
+            for name, most in (
+                ("gateways", tier.gateways),
+                ("sender", tier.gateways),
+                ("to", tier.gateways),
+                ("servers", tier.servers),
+            ):
+                said = getattr(step, name, "all")
+                if not (good(said, most) or (kind == "door" and said == "discovery")):
+                    fault(step.place, f"{kind}.{name}", f"names nobody: {said!r:.40}; there are {most}")
+            if kind == "folders" and not tier.knowledge:
+                fault(step.place, kind, "there are folders only with `tier knowledge=true`")
+            if kind == "door" and step.late and step.servers != "discovery":
+                fault(step.place, "door.late", "only discovery tells late")
+    for step in steps(schedule):
+        if step.second > tier.seconds:
+            fault(
+                step.what.place, step.kind, f"comes at {step.second:g} s, after the end at {tier.seconds:g} s"
+            )
+    if faults:
+        raise OptionsError(path, faults)
+    return schedule
+
+
+def good(said: str, count: int) -> bool:
+    """Whether a choice can name anybody of so many."""
+    if said in ("all", "up", "down", "rest"):
+        return True
+    if said.endswith("%"):
+        return said[:-1].isdecimal() and 0 < int(said[:-1]) <= 100
+    return bool(said) and all(part.isdecimal() and int(part) < count for part in said.split(","))
+
+
+def steps(schedule: Schedule) -> list[Step]:
+    """All that happens, in the order of its time."""
+    made = [Step(at.second, "", kind, step) for at in schedule.at for kind, step in at.steps()]
+    for line in schedule.timelines:
+        for turn in range(line.repeat):
+            begin = line.begin + turn * line.every
+            made += [
+                Step(begin + at.second, line.name, kind, step) for at in line.at for kind, step in at.steps()
+            ]
+    return sorted(made, key=lambda step: step.second)
--- a/corkdeal/options/reader.py
+++ b/corkdeal/options/reader.py
@@ -10,12 +10,13 @@
 import os
 import stat
 from collections.abc import Iterator
-from typing import Any, NamedTuple, get_type_hints
+from typing import Any, NamedTuple, TypeVar, get_type_hints
 
 import kdl
 
 from .records import Options
 
+Whole = TypeVar("Whole")
 MOST_BYTES = 1 << 20  # of a file that a person writes
 KINDS = {str: "text", int: "a whole number", float: "a number", bool: "true or false"}
 
@@ -64,7 +65,12 @@
 
 
 def load(path: str) -> Options:
-    """Read and check a file; `OptionsError` holds every fault."""
+    """Read and check the operators' file; `OptionsError` holds every fault."""
+    return parse(text_of(path), path)
+
+
+def text_of(path: str) -> str:
+    """A file's text, if it is a regular file of a size that a person writes."""
     try:
         if not stat.S_ISREG(os.stat(path).st_mode):  # a FIFO would keep the reader waiting for ever
             raise OptionsError(path, [Fault(0, 0, "", "is no regular file")])
@@ -75,7 +81,7 @@
     if len(data) > MOST_BYTES:
         raise OptionsError(path, [Fault(0, 0, "", f"is larger than {MOST_BYTES} bytes")])
     try:
-        return parse(data.decode(), path)
+        return data.decode()
     except UnicodeDecodeError as error:
         line = data.count(b"\n", 0, error.start) + 1
         column = error.start - data.rfind(b"\n", 0, error.start)
@@ -83,7 +89,21 @@
 
 
 def parse(text: str, path: str = "options") -> Options:
-    """Check a document's text and turn it into records."""
+    """Check the operators' file's text and turn it into records."""
+    options = parse_as(Options, text, path)
+    if options.halls:
+        from . import halls
+        faults = [Fault(*place.at(), node, text) for place, node, text in halls.faults(options.halls)]
+        if faults:
+            raise OptionsError(path, faults)
+    return options
+
+
+def parse_as(whole: type[Whole], text: str, path: str) -> Whole:
+    """Check a document's text and turn it into a record of that kind.
+
+    Its fields are the nodes that may stand at the top: one record or None, or `many` of a name.
+    """
     config = kdl.ParseConfig(nodeConverters={None: Placed},
                              valueConverters={None: lambda value, place: PlacedValue(value.value, place)})
     try:
@@ -96,27 +116,23 @@
     except (ValueError, ArithmeticError) as error:  # figures that no number holds
         raise OptionsError(path, [Fault(0, 0, "", f"can't be read: {error}")]) from None
     faults: list[Fault] = []
-    hints = get_type_hints(Options)
-    kinds = {field.name: next(k for k in hints[field.name].__args__ if dataclasses.is_dataclass(k))
-             for field in dataclasses.fields(Options)}
+    hints = get_type_hints(whole)
+    fields = {f.metadata.get("child", f.name): f for f in dataclasses.fields(whole)}
     made: dict[str, Any] = {}
     for node in document.nodes:
-        name = key_of(node.value.name)
-        if name not in kinds:
-            faults.append(Fault(*node.at(), node.value.name, f"unknown node; known are {listed(kinds)}"))
+        name = node.value.name if node.value.name in fields else key_of(node.value.name)
+        if (field := fields.get(name)) is None:
+            faults.append(Fault(*node.at(), node.value.name, f"unknown node; known are {listed(fields)}"))
+        elif "many" in field.metadata:
+            made[field.name] = (*made.get(field.name, ()), record(node, field.metadata["many"], faults))
         elif name in made:
             faults.append(Fault(*node.at(), node.value.name, "stands here a second time"))
         else:
-            made[name] = record(node, kinds[name], faults)
+            kind = next(k for k in hints[name].__args__ if dataclasses.is_dataclass(k))
+            made[name] = record(node, kind, faults)
     if faults:
         raise OptionsError(path, faults)
-    options = Options(**made)
-    if options.halls:
-        from . import halls
-        faults = [Fault(*place.at(), node, text) for place, node, text in halls.faults(options.halls)]
-        if faults:
-            raise OptionsError(path, faults)
-    return options
+    return whole(**made)
 
 
 def key_of(name: str) -> str:
--- a/corkdeal/standin/clients.py
+++ b/corkdeal/standin/clients.py
@@ -152,6 +152,12 @@
         self.down_since: dict[int, float] = {}
         self.sent_to: dict[int, int] = {}  # the gateway that each try went to
 
+    def asked(self, rid: int, ask: Ask, gateway: int, planned: float, left: float) -> None:
+        """A try goes out; for whoever keeps a history."""
+
+    def answered(self, rid: int, first: str) -> None:
+        """Its answer's first byte, or nothing where none came."""
+
     def reach(self, ask: Ask) -> int:
         """The gateway that the front sends it to: another of the set once a death was noticed."""
         c = ask.customer
@@ -180,20 +186,25 @@
         words += [b"stars"] if ask.cls else []
         return b"*%d\r\n%b" % (len(words), b"".join(b"$%d\r\n%b\r\n" % (len(w), w) for w in words))
 
-    async def one(self, ask: Ask) -> None:
-        """Ask once, and once more if told when to come back."""
-        began, limit = time.monotonic(), CLASSES[ask.cls]["deadline_us"] / 1e6
+    async def one(self, ask: Ask, began: float) -> None:
+        """Ask once, and once more if told when to come back; times count from the planned moment."""
+        limit = CLASSES[ask.cls]["deadline_us"] / 1e6
         ask.outcome = "failed"
         for again in (False, True):
             number = self.reach(ask)
             left = limit - (time.monotonic() - began)
             if left < 0.2:
                 return
+            command = self.command(ask, left, again, number)
+            self.asked(self.number, ask, number, began, left)
+            rid = self.number
             try:
                 async with asyncio.timeout(left + 0.1):
-                    head = await self.pools[number].ask(self.command(ask, left, again, number))
+                    head = await self.pools[number].ask(command)
             except (OSError, TimeoutError, asyncio.IncompleteReadError):
+                self.answered(rid, "")
                 return
+            self.answered(rid, head[:1].decode("latin-1"))
             ask.took = time.monotonic() - began
             if head[:1] == b"$":
                 ask.outcome = "served" if ask.took <= CLASSES[ask.cls]["aim_us"] / 1e6 else "late"
@@ -210,7 +221,7 @@
         for ask in self.asks:
             if (wait := began + ask.at - time.monotonic()) > 0:
                 await asyncio.sleep(wait)
-            task = asyncio.ensure_future(self.one(ask))
+            task = asyncio.ensure_future(self.one(ask, began + ask.at))
             tasks.add(task)
             task.add_done_callback(tasks.discard)
         if tasks:
--- a/corkdeal/standin/discovery.py
+++ b/corkdeal/standin/discovery.py
@@ -4,29 +4,48 @@
 
 import asyncio
 import json
+import random
 import urllib.parse
 from collections.abc import Callable
 from typing import Any
 
+from .links import Doors
+
 
 class Discovery:
     """Serves a list that the experiment changes; every answer is the whole list."""
 
-    def __init__(self, members: Callable[[], list[dict[str, Any]]]) -> None:
+    def __init__(self, members: Callable[..., list[dict[str, Any]]],
+                 told: Callable[[int, list[dict[str, Any]]], None] = lambda gateway, members: None) -> None:
+        """`members` gives the list, of a gateway where each has a door; `told` hears what each got."""
+        self.told = told
+        self.doors: Doors | None = None
+        self.late: dict[int, float] = {}  # gateways that are told of a change only so many s later
         self.members, self.revision = members, 1
         self.changed = asyncio.Condition()
         self.silent = False  # calls are taken and not answered
         self.listener: Any = None
         self.port = 0
 
-    async def start(self) -> None:
-        """Listen."""
+    async def start(self, gateways: int = 0) -> None:
+        """Listen, with a door for each of so many gateways."""
+        if gateways:
+            self.doors = Doors(self.serve, random.Random(gateways))
+            return await self.doors.start(gateways)
         self.listener = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.port = self.listener.sockets[0].getsockname()[1]
 
-    def document(self) -> dict[str, Any]:
-        """The list as it stands."""
-        return {"revision": self.revision, "complete": True, "members": self.members()}
+    def document(self, gateway: int = -1) -> dict[str, Any]:
+        """The list as it stands, for all or for one gateway."""
+        members = self.members() if gateway < 0 else self.members(gateway)
+        return {"revision": self.revision, "complete": True, "members": members}
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self.doors is not None:
+            self.doors.close()
+        if self.listener is not None:
+            self.listener.close()
 
     async def publish(self) -> None:
         """Tell all watchers."""
@@ -34,11 +53,14 @@
             self.revision += 1
             self.changed.notify_all()
 
-    async def serve(self, stream: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve(self, stream: asyncio.StreamReader, writer: asyncio.StreamWriter,
+                    gateway: int = -1) -> None:
         """One keep-alive connection."""
         try:
             while True:
                 head = (await stream.readuntil(b"\r\n\r\n")).decode("latin-1")
+                if self.doors is not None:
+                    await self.doors.passage(gateway, writer)
                 query = urllib.parse.parse_qs(urllib.parse.urlparse(head.split(" ", 2)[1]).query)
                 after = int(query.get("after", ["-1"])[0])
                 async with self.changed:
@@ -49,12 +71,18 @@
                         pass
                 if self.silent:
                     await asyncio.sleep(3600)
-                body = json.dumps(self.document()).encode()
+                if late := self.late.get(gateway):
+                    await asyncio.sleep(late)
+                if self.doors is not None:
+                    await self.doors.clear[gateway].wait()
+                document = self.document(gateway)
+                body = json.dumps(document).encode()
                 writer.write(
                     b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%b"
                     % (len(body), body)
                 )
                 await writer.drain()
+                self.told(gateway, document["members"])
         except (asyncio.IncompleteReadError, ConnectionError, ValueError, asyncio.CancelledError):
             pass
         finally:
--- a/corkdeal/standin/fleet.py
+++ b/corkdeal/standin/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import json
 import os
 import pathlib
@@ -14,6 +15,7 @@
 
 READY_EVERY = 0.02  # s between looks whether a gateway answers PING
 READY_MOST = 20.0  # s
+PR_SET_PDEATHSIG = 1
 
 HALLS = ("north-hall", "east-hall", "south-hall")
 CLASSES = [
@@ -76,6 +78,15 @@
         return f"127.0.0.1:{s.getsockname()[1]}"
 
 
+class Ended(RuntimeError):
+    """A gateway's process ended before it answered."""
+
+
+def die_with_parent() -> None:
+    """In a process just made: have it killed when the one that runs the tier ends, however that ends."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Gateway:
     """One gateway's process under one name."""
 
@@ -115,8 +126,12 @@
                 stdout=log,
                 stderr=log,
                 cwd=self.program or pathlib.Path(__file__).parents[2],
+                preexec_fn=die_with_parent,
             )
+        process = self.process
         while not await self.answers():
+            if process.returncode is not None:
+                raise Ended(f"{self.config['name']} ended at its start; see {self.log}")
             if time.monotonic() - began > READY_MOST:
                 raise RuntimeError(f"{self.config['name']} does not answer; see {self.log}")
             await asyncio.sleep(READY_EVERY)
--- /dev/null
+++ b/corkdeal/standin/links.py
@@ -0,0 +1,257 @@
+"""Links between processes, with faults: datagrams between gateways, and TCP from them to what they use.
+
+Each gateway is configured with a link's address in place of each peer's. The link carries a datagram on from
+the address at which the receiver knows the sender, so the gateway itself is the unchanged program. A service
+(a server, discovery) opens one door a gateway, so that books and faults go by pair without a relay's hop.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import socket
+import struct
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
+from functools import partial
+from typing import Any
+
+Address = tuple[str, int]
+TIMESTAMP = 35  # SO_TIMESTAMPNS: the kernel's own time of a datagram's arrival
+SPEC = struct.Struct("@qq")
+READ_MOST = 64  # datagrams of one socket in one turn
+REORDER_S = 0.05  # s that a datagram waits which is to be overtaken
+KEPT_DELAYS = 200_000  # of the link's own delays
+
+
+def text(at: Address) -> str:
+    """An address as the configuration writes it."""
+    return f"{at[0]}:{at[1]}"
+
+
+@dataclass(slots=True, frozen=True)
+class Fault:
+    """What happens to datagrams one way between two gateways; parts are chances a datagram."""
+
+    loss: float = 0.0
+    delay: float = 0.0  # s
+    jitter: float = 0.0  # s at the most, evenly drawn
+    reorder: float = 0.0
+    double: float = 0.0
+    cut: bool = False
+
+    def __add__(self, other: Fault) -> Fault:
+        """Both at once."""
+        return Fault(
+            1 - (1 - self.loss) * (1 - other.loss),
+            self.delay + other.delay,
+            self.jitter + other.jitter,
+            1 - (1 - self.reorder) * (1 - other.reorder),
+            1 - (1 - self.double) * (1 - other.double),
+            self.cut or other.cut,
+        )
+
+
+CLEAR = Fault()
+
+
+class Links:
+    """All datagram links of a tier, carried in the caller's loop."""
+
+    def __init__(self, gateways: list[str], chance: random.Random) -> None:
+        """`gateways` are their own addresses for datagrams."""
+        self.at = [(host, int(port)) for host, _, port in (g.rpartition(":") for g in gateways)]
+        self.chance = chance
+        self.sockets: dict[tuple[int, int], socket.socket] = {}  # by sender and receiver: where the one sends
+        self.active: dict[int, tuple[frozenset[tuple[int, int]], Fault]] = {}
+        self.now: dict[tuple[int, int], Fault] = {}  # where a fault is on
+        self.number = 0
+        self.carried: Counter[str] = Counter()
+        self.sent: Counter[int] = Counter()  # datagrams by sender
+        self.delays: list[float] = []  # s from a datagram's arrival until it was sent on, without faults'
+        self.heard: Callable[[int, int, bool], None] = lambda sender, to, lost: None
+
+    async def start(self) -> None:
+        """Open all links."""
+        loop = asyncio.get_running_loop()
+        for i in range(len(self.at)):
+            for j in range(len(self.at)):
+                if i != j:
+                    s = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+                    s.setblocking(False)
+                    s.setsockopt(socket.SOL_SOCKET, TIMESTAMP, 1)
+                    s.bind(("127.0.0.1", 0))
+                    self.sockets[i, j] = s
+                    loop.add_reader(s, self.take, i, j, s)
+
+    def peers_of(self, gateway: int) -> list[str]:
+        """What stands under `peers` in that gateway's configuration."""
+        return [
+            text(at) if j == gateway else text(self.sockets[gateway, j].getsockname())
+            for j, at in enumerate(self.at)
+        ]
+
+    def put(self, pairs: Iterable[tuple[int, int]], fault: Fault) -> int:
+        """Begin a fault on those directions; its number, for `lift`."""
+        self.number += 1
+        self.active[self.number] = frozenset(pairs), fault
+        self.settle()
+        return self.number
+
+    def lift(self, number: int) -> None:
+        """End a fault; others on the same links go on."""
+        self.active.pop(number, None)
+        self.settle()
+
+    def settle(self) -> None:
+        """What is on by now."""
+        self.now = {}
+        for pairs, fault in self.active.values():
+            for pair in pairs:
+                self.now[pair] = self.now.get(pair, CLEAR) + fault
+
+    def take(self, i: int, j: int, s: socket.socket) -> None:
+        """What gateway i sent to j."""
+        for _ in range(READ_MOST):
+            try:
+                data, extra, _, sender = s.recvmsg(2048, 64)
+            except (BlockingIOError, ConnectionError):
+                return
+            if sender != self.at[i]:  # nobody else may speak in its name
+                self.carried["from a stranger"] += 1
+                continue
+            self.sent[i] += 1
+            arrived = time.time()
+            for level, kind, value in extra:
+                if level == socket.SOL_SOCKET and kind == TIMESTAMP:
+                    seconds, nanos = SPEC.unpack(value[: SPEC.size])
+                    arrived = seconds + nanos / 1e9
+            self.carry(i, j, data, arrived)
+
+    def carry(self, i: int, j: int, data: bytes, arrived: float) -> None:
+        """Lose, keep back, double or pass on one datagram."""
+        fault = self.now.get((i, j))
+        if fault is None:
+            return self.pass_on(i, j, data, arrived)
+        if fault.cut or self.chance.random() < fault.loss:
+            self.carried["cut" if fault.cut else "lost"] += 1
+            return self.heard(i, j, True)
+        for _ in range(1 + (self.chance.random() < fault.double)):
+            wait = fault.delay + fault.jitter * self.chance.random()
+            if self.chance.random() < fault.reorder:
+                wait += REORDER_S
+                self.carried["reordered"] += 1
+            if wait:
+                asyncio.get_running_loop().call_later(wait, self.pass_on, i, j, data, None)
+            else:
+                self.pass_on(i, j, data, arrived)
+
+    def pass_on(self, i: int, j: int, data: bytes, arrived: float | None) -> None:
+        """Send it from where j knows i."""
+        if not (back := self.sockets.get((j, i))):
+            return  # the links are closed
+        with contextlib.suppress(OSError):  # a full buffer loses it, as a network would
+            back.sendto(data, self.at[j])
+        self.carried["carried"] += 1
+        if arrived is not None and len(self.delays) < KEPT_DELAYS:
+            self.delays.append(max(0.0, time.time() - arrived))
+        self.heard(i, j, False)
+
+    def close(self) -> None:
+        """End all links."""
+        for s in self.sockets.values():
+            asyncio.get_running_loop().remove_reader(s)
+            s.close()
+        self.sockets.clear()
+
+
+@dataclass(slots=True, frozen=True)
+class DoorFault:
+    """What happens to one gateway's connections to one service."""
+
+    refuse: bool = False  # new connections are refused, open ones reset
+    silent: bool = False  # nothing gets in or out
+    reset: float = 0.0  # chance a command that its connection is reset
+    slow: float = 0.0  # s, each command
+
+
+OPEN = DoorFault()
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter, int], Awaitable[None]]
+
+
+class Doors:
+    """One listener a gateway for one service, which calls `passage` before it takes and before it answers."""
+
+    def __init__(self, serve: Serve, chance: random.Random) -> None:
+        self.serve, self.chance = serve, chance
+        self.ports: list[int] = []
+        self.listeners: list[Any] = []
+        self.faults: list[DoorFault] = []
+        self.clear: list[asyncio.Event] = []
+        self.open: list[set[asyncio.StreamWriter]] = []
+        self.connected: Callable[[int], None] = lambda gateway: None
+
+    async def start(self, count: int) -> None:
+        """Open the doors of so many gateways, each at a port of its own."""
+        for i in range(count):
+            self.listeners.append(None)
+            self.ports.append(0)
+            self.faults.append(OPEN)
+            self.clear.append(asyncio.Event())
+            self.clear[i].set()
+            self.open.append(set())
+            await self.listen(i)
+
+    async def listen(self, gateway: int) -> None:
+        """Listen at a gateway's door, again at the port it knows."""
+        listener = await asyncio.start_server(partial(self.met, gateway), "127.0.0.1", self.ports[gateway])
+        self.listeners[gateway], self.ports[gateway] = listener, listener.sockets[0].getsockname()[1]
+
+    async def met(self, gateway: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """One connection."""
+        self.open[gateway].add(writer)
+        self.connected(gateway)
+        try:
+            if self.faults[gateway].silent:
+                writer.transport.pause_reading()  # type: ignore[attr-defined]
+            await self.serve(reader, writer, gateway)
+        finally:
+            self.open[gateway].discard(writer)
+
+    async def passage(self, gateway: int, writer: asyncio.StreamWriter) -> None:
+        """Wait as that gateway's fault wants; `ConnectionResetError` where it resets the connection."""
+        fault = self.faults[gateway]
+        if fault.slow:
+            await asyncio.sleep(fault.slow)
+        if fault.reset and self.chance.random() < fault.reset:
+            writer.transport.abort()
+            raise ConnectionResetError
+        await self.clear[gateway].wait()
+
+    async def put(self, gateway: int, fault: DoorFault) -> None:
+        """Begin a fault at a gateway's door, or end it by `OPEN`."""
+        before, self.faults[gateway] = self.faults[gateway], fault
+        for writer in list(self.open[gateway]):
+            with contextlib.suppress(RuntimeError):
+                if fault.silent and not before.silent:
+                    writer.transport.pause_reading()  # type: ignore[attr-defined]
+                elif before.silent and not fault.silent:
+                    writer.transport.resume_reading()  # type: ignore[attr-defined]
+        (self.clear[gateway].clear if fault.silent else self.clear[gateway].set)()
+        if fault.refuse and not before.refuse:
+            self.listeners[gateway].close()
+            for writer in list(self.open[gateway]):
+                writer.transport.abort()
+        elif before.refuse and not fault.refuse:
+            await self.listen(gateway)
+
+    def close(self) -> None:
+        """Close all doors and reset what is open."""
+        for listener in self.listeners:
+            listener.close()
+        for each in self.open:
+            for writer in list(each):
+                writer.transport.abort()
--- a/corkdeal/standin/servers.py
+++ b/corkdeal/standin/servers.py
@@ -11,12 +11,15 @@
 import asyncio
 import contextlib
 import random
+import socket
 import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
+from .links import Doors
+
 READ_AT_ONCE = 65536
 
 
@@ -50,7 +53,22 @@
     server: str
     customer: int
     request: int
-    gateway: str
+    gateway: str  # the number of the one it came from, where servers have a door for each; else empty
+    live: Callable[[], bool] = lambda: False  # whether its gateway still waits for the answer
+
+
+def waited_for(writer: asyncio.StreamWriter) -> bool:
+    """Whether the other end of a connection still stands; as the kernel has it by now."""
+    if writer.transport.is_closing():
+        return False
+    handle = writer.get_extra_info("socket")
+    with socket.fromfd(handle.fileno(), handle.family, handle.type) as peek:
+        try:
+            return peek.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) != b""
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
 
 
 @dataclass(slots=True)
@@ -99,17 +117,22 @@
     open: set[asyncio.StreamWriter] = field(default_factory=set)
     listener: Any = None
     restored: asyncio.Event = field(default_factory=asyncio.Event)
+    doors: Doors | None = None
 
-    async def start(self, port: int = 0, host: str = "127.0.0.1") -> None:
-        """Listen; a start after an earlier one is a new process, and cold."""
+    async def start(self, port: int = 0, host: str = "127.0.0.1", gateways: int = 0) -> None:
+        """Listen, with a door for each of so many gateways; a start after an earlier one is a new process."""
+        if gateways:
+            self.doors = Doors(self.serve, random.Random(self.model.name))
+            return await self.doors.start(gateways)
         self.listener = await asyncio.start_server(self.serve, host, port)
         self.port = self.listener.sockets[0].getsockname()[1]
 
-    def entry(self, phase: str = "Ready") -> dict[str, Any]:
-        """Its line in discovery's list."""
+    def entry(self, phase: str = "Ready", gateway: int | None = None) -> dict[str, Any]:
+        """Its line in discovery's list, as all gateways or that one is told."""
+        port = self.port if gateway is None or self.doors is None else self.doors.ports[gateway]
         return {
             "id": self.model.name,
-            "host_port": f"127.0.0.1:{self.port}",
+            "host_port": f"127.0.0.1:{port}",
             "locality": self.model.hall,
             "flavor": self.model.figure,
             "cell": self.model.cell,
@@ -144,6 +167,8 @@
         """Its process ends: connections are reset, new ones refused."""
         if self.listener is not None:
             self.listener.close()
+        if self.doors is not None:
+            self.doors.close()
         for writer in list(self.open):
             writer.transport.abort()
         self.waiting.clear()
@@ -168,7 +193,8 @@
                 with contextlib.suppress(RuntimeError):
                     writer.transport.resume_reading()  # type: ignore[attr-defined]
 
-    async def serve(self, stream: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve(self, stream: asyncio.StreamReader, writer: asyncio.StreamWriter,
+                    gateway: int = -1) -> None:
         """One connection, one command at a time."""
         self.open.add(writer)
         reader = Reader(stream)
@@ -178,9 +204,16 @@
                 await self.restored.wait()
             while True:
                 words = await reader.command()
-                reply = await self.answer(words)
+                if self.doors is not None:
+                    await self.doors.passage(gateway, writer)
+                done: list[bool] = []
+                reply = await self.answer(words, str(gateway) if gateway >= 0 else "",
+                                          lambda done=done: not done and waited_for(writer))
                 if self.cut:
                     await self.restored.wait()
+                if self.doors is not None:
+                    await self.doors.clear[gateway].wait()
+                done.append(True)
                 writer.write(reply)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, ValueError, asyncio.CancelledError):
@@ -189,14 +222,14 @@
             self.open.discard(writer)
             writer.transport.abort()
 
-    async def answer(self, words: list[bytes]) -> bytes:
+    async def answer(self, words: list[bytes], gateway: str, live: Callable[[], bool]) -> bytes:
         """Serve one command."""
         if words[0].upper() == b"PING":
             return b"+PONG\r\n"
         if words[0].upper() not in (b"API.READ", b"API.WRITE"):
             return b"-ERR unknown command\r\n"
         work = self.work_of()
-        self.seen(Arrival(time.time(), self.model.name, int(words[1], 16), int(words[2], 16), ""))
+        self.seen(Arrival(time.time(), self.model.name, int(words[1], 16), int(words[2], 16), gateway, live))
         self.weigh(work)
         if self.fallen or len(self.waiting) >= self.model.queue:
             return b"-BUSY\r\n"
--- /dev/null
+++ b/tests/tier/test_history.py
@@ -0,0 +1,53 @@
+"""The checker of a tier's history: each rule, kept and broken."""
+
+import pytest
+
+from corkdeal.standin.history import Attempt, Away, History, Quota, Told, Try, check
+
+Q = {7: Quota(rate=1.0, burst=3.0, bound=0.0)}
+
+
+def history(tries=(), attempts=(), told=(), away=()):
+    made = History()
+    made.tries = {t.id: t for t in tries}
+    made.attempts, made.away = list(attempts), list(away)
+    for gateway, *rest in told:
+        made.told[gateway].append(Told(*rest))
+    return made
+
+
+def tried(*answers):
+    return Try(1, 7, 0, 1.0, 1.0, 3.0, [(at, "$") for at in answers])
+
+
+def burst(count, gap):
+    return [Attempt(10 + n * gap, "s", 0, n, 7) for n in range(count)]
+
+
+LISTS = [(0, 0.0, frozenset("ab")), (0, 5.0, frozenset("b"))]
+
+
+@pytest.mark.parametrize(
+    ("seen", "rule"),
+    [
+        (history([tried(2.0)]), None),
+        (history([tried(2.0, 2.1)]), "one final answer"),
+        (history([tried()]), "one final answer"),
+        (history([tried()], away=[Away(0, 2.0, 9.0)]), None),
+        (history([tried()], away=[Away(1, 2.0, 9.0)]), "one final answer"),
+        (history(attempts=[Attempt(1.0, "a", 0, 1, 7)]), None),
+        (history(attempts=[Attempt(1.0, "a", 0, 1, 7, "b")]), "never two attempts at once"),
+        (history(attempts=[Attempt(5.2, "a", 0, 1, 7)], told=LISTS), None),
+        (history(attempts=[Attempt(5.3, "a", 0, 1, 7)], told=LISTS), "nothing new to a server told away"),
+        (history(attempts=[Attempt(9.0, "b", 0, 1, 7)], told=LISTS), None),
+        (history(attempts=[Attempt(9.0, "c", 0, 1, 7)], told=LISTS), "nothing new to a server told away"),
+        (history(attempts=burst(3, 0.0)), None),
+        (history(attempts=burst(20, 1.0)), None),
+        (history(attempts=burst(4, 0.0)), "units within quota"),
+        (history(attempts=burst(20, 0.8)), "units within quota"),
+        (history(attempts=[a._replace(request=1) for a in burst(9, 0.1)]), None),  # one request, tried again
+    ],
+)
+def test_a_broken_rule_is_found_and_a_kept_one_is_not(seen, rule):
+    broken = check(seen, Q, 60.0, 0.0)
+    assert [b.rule for b in broken] == ([rule] if rule else []) and all(b.lines for b in broken)
--- /dev/null
+++ b/tests/tier/test_links.py
@@ -0,0 +1,123 @@
+"""Links between processes: each fault does what it says, one way, and ends."""
+
+import asyncio
+import contextlib
+import random
+import socket
+
+import pytest
+
+from corkdeal.standin.links import OPEN, DoorFault, Doors, Fault, Links
+
+
+@contextlib.asynccontextmanager
+async def three():
+    """Three stand-in gateways, and the links between them."""
+    own = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(3)]
+    for s in own:
+        s.bind(("127.0.0.1", 0))
+        s.setblocking(False)
+    links = Links([f"127.0.0.1:{s.getsockname()[1]}" for s in own], random.Random(1))
+    await links.start()
+
+    def at(i, j):
+        host, port = links.peers_of(i)[j].split(":")
+        return host, int(port)
+
+    try:
+        yield links, own, at
+    finally:
+        links.close()
+        for s in own:
+            s.close()
+
+
+async def say(links, own, at, i, j, times, copies=1):
+    """Send from i to j and wait until the links have dealt with all of it; how much they passed on."""
+    done = asyncio.Event()
+    seen = []
+
+    def heard(a, b, lost):
+        seen.append((a, b, lost))
+        if len(seen) == times * copies:
+            done.set()
+
+    links.heard = heard
+    for n in range(times):
+        own[i].sendto(b"%d" % n, at(i, j))
+    await asyncio.wait_for(done.wait(), 10)
+    return sum(not lost for _, _, lost in seen)
+
+
+def test_a_datagram_comes_from_where_the_receiver_knows_the_sender():
+    async def play():
+        async with three() as (links, own, at):
+            assert await say(links, own, at, 0, 2, 1) == 1
+            assert own[2].recvfrom(100) == (b"0", at(2, 0))
+            own[1].sendto(b"in another's name", at(0, 2))
+            await say(links, own, at, 0, 2, 1)
+            assert own[2].recvfrom(100)[0] == b"0" and links.carried["from a stranger"] == 1
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    ("fault", "through"), [(Fault(cut=True), 0), (Fault(loss=0.5), None), (Fault(double=1.0), 40)]
+)
+def test_a_fault_is_one_way_and_ends(fault, through):
+    async def play():
+        async with three() as (links, own, at):
+            number = links.put({(0, 1)}, fault)
+            passed = await say(links, own, at, 0, 1, 20, 2 if fault.double else 1)
+            assert 0 < passed < 20 if through is None else passed == through
+            assert await say(links, own, at, 1, 0, 20) == 20
+            links.lift(number)
+            assert await say(links, own, at, 0, 1, 20) == 20
+
+    asyncio.run(play())
+
+
+def test_two_faults_at_once_add_up_and_end_each_for_itself():
+    links = Links(["127.0.0.1:1", "127.0.0.1:2"], random.Random(1))
+    first = links.put({(0, 1)}, Fault(loss=0.5, delay=0.1))
+    links.put({(0, 1), (1, 0)}, Fault(loss=0.5, cut=True))
+    assert links.now[0, 1] == Fault(loss=0.75, delay=0.1, cut=True)
+    links.lift(first)
+    assert links.now == {(0, 1): Fault(loss=0.5, cut=True), (1, 0): Fault(loss=0.5, cut=True)}
+
+
+def test_a_door_refuses_goes_silent_and_resets_for_one_gateway_only():
+    async def play():
+        async def echo(reader, writer, gateway):
+            with contextlib.suppress(ConnectionError):
+                while line := await reader.readline():
+                    await doors.passage(gateway, writer)
+                    writer.write(b"%d %b" % (gateway, line))
+            writer.close()
+
+        async def ask(gateway):
+            reader, writer = await asyncio.open_connection("127.0.0.1", doors.ports[gateway])
+            writer.write(b"x\n")
+            try:
+                return await reader.readline()
+            except ConnectionError:
+                return b""
+            finally:
+                writer.close()
+
+        doors = Doors(echo, random.Random(1))
+        await doors.start(2)
+        assert await ask(0) == b"0 x\n"
+        await doors.put(0, DoorFault(refuse=True))
+        with pytest.raises(ConnectionRefusedError):
+            await ask(0)
+        await doors.put(0, DoorFault(reset=1.0))
+        assert await ask(0) == b"" and await ask(1) == b"1 x\n"
+        await doors.put(0, DoorFault(silent=True))
+        waits = asyncio.ensure_future(ask(0))
+        assert await ask(1) == b"1 x\n" and not waits.done()
+        await doors.put(0, OPEN)
+        assert await waits == b"0 x\n"
+        doors.close()
+
+    asyncio.run(play())
--- /dev/null
+++ b/tests/tier/test_tier.py
@@ -0,0 +1,59 @@
+"""A tier of real gateways with faults between them: the rules hold, and everything ends with the run."""
+
+import asyncio
+import os
+import pathlib
+import signal
+
+import pytest
+
+from corkdeal.experiment import schedule
+from corkdeal.experiment.tier import Play
+
+SMALL = "tier gateways=3 servers=3 load=0.3 settled=0.5 "
+
+
+def play(text, folder, seed=1):
+    made = Play(schedule.parse(text), seed, pathlib.Path(folder))
+    return made, asyncio.run(made.run())
+
+
+def timeless(seen):
+    """Broken rules, without those that a machine under load breaks by being late."""
+    return [b for b in seen["broken"] if "no answer" not in b["lines"][0] and "told" not in b["rule"]]
+
+
+def alive(gateway):
+    try:
+        os.kill(gateway.process.pid, 0)
+    except ProcessLookupError:
+        return False
+    return True
+
+
+def test_gateways_killed_and_cut_off_under_load_keep_the_rules(tmp_path):
+    made, seen = play(
+        SMALL + 'seconds=5.0\nat 1.0 { link loss=0.4 seconds=2.0; link sender="0" to="1" cut=true; }\n'
+        'at 1.5 { kill "0,1"; }\nat 1.8 { start "down"; }',
+        tmp_path,
+    )
+    assert not timeless(seen)
+    assert len(seen["ready_s"]) == 2 and seen["links"]["cut"] and seen["links"]["lost"]
+    assert seen["outcomes"]["served"] > 0 and not any(alive(g) for g in made.gateways)
+
+
+def test_all_processes_end_with_a_run_that_fails_even_stopped_ones(tmp_path):
+    made = Play(
+        schedule.parse(SMALL + 'seconds=9.0\nat 0.1 { stop "0"; }\nat 0.2 { start "1"; }'), 1, tmp_path
+    )
+
+    async def fail(kind, numbers):
+        if kind == "start":
+            raise RuntimeError("as the test wants")
+        await steps(kind, numbers)
+
+    steps, made.process = made.process, fail
+    with pytest.raises(RuntimeError, match="as the test wants"):
+        asyncio.run(made.run())
+    assert made.gateways and not any(alive(g) for g in made.gateways)
+    assert made.gateways[0].process.returncode == -signal.SIGKILL
