--- a/corkdeal/brain.py
+++ b/corkdeal/brain.py
@@ -197,18 +197,19 @@
         if worth_it and not (a.plan.ceiling_rate and a.ceiling < e.units):
             return self.dispatch(req)
         wait = (e.units - a.level) / (self.rate(a) * share + 1e-6)
-        self.answer(req, wait if a.plan.rate else self.typical(req))
+        self.answer(req, wait if a.plan.rate else self.typical(req), "quota")
 
     def dispatch(self, req: Pending) -> None:
         """Send the next attempt, hold while no server can be used, refuse what can't be in time."""
         server = self.choose(req)
         left = min(req.came + req.cls.aim, req.deadline) - self.now
         if server is None:
-            return self.held.append(req.e.id) if left > req.cls.aim / 2 else self.answer(req)
+            return self.held.append(req.e.id) if left > req.cls.aim / 2 else self.answer(
+                req, why="no_server")
         stale = not server.out and self.now - server.sent_at > LOOK_AGAIN  # a bad record must not lock it out
         bound = (LATE if req.inside else LATE_BEYOND) * left
         if req.attempts == 0 and not stale and self.expected(server, req) * self.warmth(server) > bound:
-            return self.answer(req)  # pressed: early refusal leaves the fleet to those it can serve
+            return self.answer(req, why="late")  # pressed: early refusal leaves the fleet to those it can serve
         self.send(req, server)
 
     def send(self, req: Pending, server: Server) -> None:
@@ -227,9 +228,10 @@
         req.tried.append(server)
         self.out.append(t.Send(req.e.id, server.entry.server))
 
-    def answer(self, req: Pending, wait: float = 0.0) -> None:
+    def answer(self, req: Pending, wait: float = 0.0, why: str = "deadline") -> None:
         """The one final answer: a refusal, saying when to come back, where that is harmless; else failure."""
         del self.requests[req.e.id]
+        self.causes[f"{'inside' if req.inside else 'beyond'}_{why}"] += 1
         advice = min(wait or self.typical(req), self.s.max_advised_wait) if self.s.may_advise_wait else 0.0
         harmless = (req.ran_at is None and req.server is None) or req.cls.effect is t.Effect.SAFE or (
             req.cls.effect is t.Effect.KEYED and req.cls.group is t.Group.ALL and req.server is None)
@@ -254,7 +256,7 @@
             req.ran_at, req.ran_on = self.now - e.elapsed, server
         req.server, again = None, self.may_retry(req)
         self.retries_left -= again and not (self.many and e.status is t.Status.FULL)  # cost a server nothing
-        self.dispatch(req) if again else self.answer(req)
+        self.dispatch(req) if again else self.answer(req, why="tried")
 
     def may_retry(self, req: Pending) -> bool:
         """Effect class, attempt limit, time and the retry budget (against storms) all allow it."""
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -70,6 +70,7 @@
         self.succession: Succession | None = None  # of lives, where the listening socket is handed down
         self.before_end: list[Any] = []  # whose `stop(done)` is called after the last answer
         self.reported = ""
+        self.refused = 0
         self.ops_port: Any = None
         handheld = Handheld(config.name) if config.ops else None
         if handheld:
@@ -199,6 +200,9 @@
         if (line := invariants.report()) != self.reported:
             self.reported = line
             logs.event("counts", **dict(sorted(invariants.counts.items())))
+        if (total := self.decisions.causes.total()) != self.refused:
+            self.refused = total
+            logs.event("refused", **dict(sorted(self.decisions.causes.items())))
         self.reactor.callLater(REPORT_EVERY, self.report)
 
     # Events
--- a/corkdeal/plumbing.py
+++ b/corkdeal/plumbing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from . import interface as t
@@ -45,6 +46,7 @@
         self.peer_born: dict[int, int] = {}
         self.peer_heard: dict[int, float] = {}
         self.out: list[t.Action] = []
+        self.causes: Counter[str] = Counter()  # why requests were given up on, inside and beyond their quotas
         self.handlers = {
             t.ServerList: self.on_list, t.Request: self.on_request, t.Outcome: self.on_outcome,
             t.StreamStarted: self.on_stream, t.ClientGone: lambda e: self.requests.pop(e.id, None),
