Notice on its first turn that a process stood still, and use nothing that is old by then

Need: a gateway stopped for 8 s woke, sent on requests whose clients were gone, filled its buckets for a time in which its neighbour had its slices on loan, and believed lists, reports and peers' words of before. Change: with the operators' node recovery, a beat ten times a second and a look at the clock before each batch. After a pause buckets did not fill, neighbours' levels back nothing, nobody is silent or hung for it, attempts not yet written end, nothing is sent until discovery has spoken again (0.25 s at most), and what clients sent meanwhile is dated by the kernel (tcp_info). The states returning, learning and full, each with its reason, are logged. Off it costs one test a batch.

--- a/corkdeal/brain.py
+++ b/corkdeal/brain.py
@@ -190,7 +190,7 @@
         elif not e.is_retry:  # a refused client's return is no new demand and must not drag supply
             a.demand += units / DEMAND_MEMORY
         req = self.requests[e.id] = Pending(
-            e, self.s.classes[e.cls], a, units, self.now, self.now + e.patience)
+            e, self.s.classes[e.cls], a, units, self.now - e.waited, self.now + e.patience)
         self.set_deadline(e.id, e.patience - 2 * self.s.tick)
         req.inside = self.part > 0 and self.admits(a, e.units, share)
         worth_it = req.inside or a.plan.over_worth > a.plan.over_cost
@@ -201,7 +201,7 @@
 
     def dispatch(self, req: Pending) -> None:
         """Send the next attempt, hold while no server can be used, refuse what can't be in time."""
-        server = self.choose(req)
+        server = None if self.blind else self.choose(req)
         left = min(req.came + req.cls.aim, req.deadline) - self.now
         if server is None:
             return self.held.append(req.e.id) if left > req.cls.aim / 2 else self.answer(
@@ -209,7 +209,7 @@
         stale = not server.out and self.now - server.sent_at > LOOK_AGAIN  # a bad record must not lock it out
         bound = (LATE if req.inside else LATE_BEYOND) * left
         if req.attempts == 0 and not stale and self.expected(server, req) * self.warmth(server) > bound:
-            return self.answer(req, why="late")  # pressed: early refusal leaves the fleet to those it can serve
+            return self.answer(req, why="late")  # early refusal leaves the fleet to those it can serve
         self.send(req, server)
 
     def send(self, req: Pending, server: Server) -> None:
--- a/corkdeal/experiment/tier.py
+++ b/corkdeal/experiment/tier.py
@@ -13,6 +13,7 @@
 import random
 import shutil
 import signal
+import socket
 import time
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -106,7 +107,8 @@
             self.servers.append(server)
         self.discovery = Discovery(self.members, self.told)
         await self.discovery.start(tier.gateways)
-        peers = [fleet.free(fleet.socket.SOCK_DGRAM) for _ in range(tier.gateways)]
+        host = fleet.own_host()
+        peers = [fleet.free(socket.SOCK_DGRAM, host) for _ in range(tier.gateways)]
         self.links = Links(peers, random.Random(chance.random()))
         self.links.heard = lambda i, j, lost: self.datagrams.append(self.clock())
         await self.links.start()
@@ -122,7 +124,7 @@
             settings["rules"]["warm_within_us"] = int(tier.cold * 1e6)
             config = {
                 "name": f"n{i}",
-                "listen": fleet.free(),
+                "listen": fleet.free(host=host),
                 "discovery": f"127.0.0.1:{door}",
                 "peer_listen": peers[i],
                 "peers": self.links.peers_of(i),
--- a/corkdeal/interface.py
+++ b/corkdeal/interface.py
@@ -162,6 +162,7 @@
     patience: float
     is_retry: bool = False
     is_write: bool = False
+    waited: float = 0.0  # s that it lay unread while the gateway stood still; `patience` is what is left
 
 
 @dataclass(slots=True, frozen=True)
--- a/corkdeal/net/channel.py
+++ b/corkdeal/net/channel.py
@@ -48,6 +48,7 @@
         self.since = gateway.now()  # when it was connected or last fell idle
         self.spoke, self.asked = False, 0  # whether a whole command has come, and how many RPCs
         self.bad = 0
+        self.waited = 0.0  # s that what is being read lay here while the process stood still
         self.half_closed = self.closing = self.refused = False
         self.held = self.reading = self.ended = False
         self.body: Body | None = None  # a command's long value on its way in
@@ -74,6 +75,8 @@
         if self.refused:
             return
         now = self.gateway.now()
+        if self.gateway.recovery is not None:
+            self.waited = self.gateway.recovery.waited(self.transport.getHandle(), now)
         begun = self.begun if self.parser.midway else now
         self.reading = True
         try:
@@ -102,7 +105,7 @@
         name = frame.text(1).upper()
         if name in (READ, WRITE):
             try:
-                rpc = self.gateway.reader.read(frame, now)
+                rpc = self.gateway.reader.read(frame, now, self.waited)
             except BadRequest as error:
                 return self.bad_request(error)
             self.line_up(rpc)
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -31,6 +31,7 @@
 from .timers import Timers
 
 if TYPE_CHECKING:
+    from .recovery import Recovery
     from .succession import Succession
 
 START_WAIT = 0.25  # s that a start waits for discovery's first word before it goes by `known`
@@ -67,6 +68,7 @@
         self.port: Any = None
         self.begun = self.started = self.draining = self.ending = False
         self.peer_port: Any = None
+        self.recovery: Recovery | None = None  # of what may be relied on after a pause, where that is on
         self.succession: Succession | None = None  # of lives, where the listening socket is handed down
         self.before_end: list[Any] = []  # whose `stop(done)` is called after the last answer
         self.reported = ""
@@ -140,6 +142,12 @@
         """A watch of the discovery at that address; without a list held it asks for the whole one."""
         return Watch(self.reactor, at, self.settings, self.told, held, random.Random(self.config.seed))
 
+    def watch_again(self) -> None:
+        """Begin the watch anew, with the whole list."""
+        self.watch.stop()
+        self.watch = self.watch_at(self.config.discovery)
+        self.watch.run()
+
     def reload(self) -> None:
         """SIGHUP: check the file whole, then move the watch; RPCs, channels and subchannels go on."""
         try:
@@ -151,10 +159,8 @@
         self.tally["reconfig_ok"] += 1
         late = [f.name for f in dataclasses.fields(new) if f.name not in AT_START
                 and getattr(new, f.name) != getattr(self.config, f.name)]
-        self.watch.stop()
         self.config = dataclasses.replace(self.config, discovery=new.discovery)
-        self.watch = self.watch_at(new.discovery)
-        self.watch.run()
+        self.watch_again()
         logs.event("reloaded", discovery=text_of(new.discovery), at_next_start=",".join(late))
 
     def drain(self) -> None:
@@ -215,6 +221,8 @@
 
     def pump(self) -> None:
         """Call the module until nothing is left to tell it, and carry out what it wants."""
+        if self.recovery is not None:
+            self.recovery.turn(self.now())
         self.busy = True
         try:
             while self.events:
@@ -244,8 +252,11 @@
         return [t.Fail(i) for i in sorted(ids) if i in self.rpcs and not self.rpcs[i].attempt]
 
     def take(self, rpc: RPC) -> None:
-        """An RPC has come whole; from here on it is owed an answer."""
+        """An RPC has come whole; from here on it is owed an answer, at once where its time is over."""
         self.rpcs[rpc.request.id] = rpc
+        if self.recovery is not None and rpc.request.patience <= 0:
+            count("request_too_old")
+            return self.refuse(t.Refuse(rpc.request.id, 0.0))
         self.feed(rpc.request)
 
     def turned_down(self, rpc: RPC, after: float) -> bytes:
@@ -271,6 +282,8 @@
 
     def finished(self, attempt: Attempt, reply: Reply) -> None:
         """An attempt ended; a value is passed on before the module hears of it."""
+        if self.recovery is not None:
+            self.recovery.turn(self.now())
         elapsed, rpc = attempt.first, attempt.rpc
         if elapsed is None:
             elapsed = max(0.0, self.now() - attempt.sent_at)
@@ -306,6 +319,8 @@
 
     def told(self, result: ResolverResult) -> None:
         """Discovery's word."""
+        if self.recovery is not None:
+            self.recovery.told()
         self.backends.take(result, t.ListKind.FULL if result.complete else t.ListKind.DELTA)
         self.open()
 
--- a/corkdeal/net/program.py
+++ b/corkdeal/net/program.py
@@ -25,9 +25,14 @@
         self.keeper: Keeper | None = None
         if options and options.knowledge:
             self.keep(options).load()
+        if options and options.recovery:
+            from .recovery import Recovery
+            self.gateway.recovery = Recovery(reactor, self.gateway)
 
     def start(self) -> None:
         """Begin to serve; knowledge is in force by now."""
+        if self.gateway.recovery is not None:
+            self.gateway.recovery.start()
         if self.config.inherited is None:
             self.gateway.start()
         else:
--- /dev/null
+++ b/corkdeal/net/recovery.py
@@ -0,0 +1,106 @@
+"""Coming back on the sockets: pauses noticed before anything is decided, old requests known by their age.
+
+Made only where the operators' file has `recovery`. After a pause nothing is sent until discovery has spoken
+again, or had its time to; what clients sent meanwhile is dated by the kernel's own time of its arrival.
+"""
+
+from __future__ import annotations
+
+import socket
+import struct
+from typing import Any
+
+from .. import logs
+from ..recovery import waking
+from ..recovery.pulse import Pulse
+from ..recovery.standing import Left, Standing
+from .invariants import count
+
+LOOK_EVERY = 0.1  # s between looks, which are the beats
+SEE_WAIT = 0.25  # s that sends wait for discovery's first word after a pause, as at a start
+OLD_FOR = 2.0  # s after a pause in which bytes may still be read that came before its end
+LAST_DATA = struct.Struct("@I")  # tcpi_last_data_recv of struct tcp_info: ms since the newest bytes came
+LAST_DATA_AT, INFO_BYTES = 52, 64
+
+
+class Recovery:
+    """One gateway's return after a start or a pause."""
+
+    def __init__(self, reactor: Any, gateway: Any) -> None:
+        self.reactor, self.gateway = reactor, gateway
+        self.pulse, self.standing = Pulse(), Standing(gateway.now())
+        self.woke_at = self.gap = 0.0
+        self.seeing: Any = None  # the call that ends the wait for discovery
+        gateway.pool.turn = lambda: self.turn(gateway.now())
+
+    def start(self) -> None:
+        """Begin to look."""
+        self.standing = Standing(self.gateway.now())
+        self.look()
+
+    def look(self) -> None:
+        """Beat, and say when the state changes."""
+        now, decisions = self.gateway.now(), self.gateway.decisions
+        self.turn(now)
+        heard = sum(decisions.peer_heard.get(p, 0.0) > self.standing.began and p in decisions.peer_born
+                    for p in decisions.neighbours)
+        causes = decisions.causes
+        left = self.standing.look(now, heard, len(decisions.neighbours), self.gateway.tally["success"],
+                                  sum(n for why, n in causes.items() if why.startswith("inside")))
+        if left:
+            self.tell(left)
+        self.reactor.callLater(LOOK_EVERY, self.look)
+
+    def tell(self, left: Left) -> None:
+        """A state was left."""
+        decisions = self.gateway.decisions
+        many = self.standing.among_many(decisions.born, decisions.peer_born)
+        logs.event("recovery", state=left.state, before=left.before, why=left.why,
+                   among="many" if many else "few", after=round(left.after, 2))
+
+    def turn(self, now: float) -> None:
+        """Something is about to happen: whether the process stood still before it."""
+        if gap := self.pulse.beat(now):
+            self.woken(now, gap)
+
+    def woken(self, now: float, gap: float) -> None:
+        """It did: age what is known, and send nothing by a list that may be old."""
+        count("paused")
+        self.woke_at, self.gap = now, gap
+        self.gateway.decisions.blind = self.gateway.begun
+        waking.wake(self.gateway.decisions, now, gap)
+        for attempt in self.gateway.out.values():
+            attempt.sent_at += gap  # its server had no time to answer meanwhile
+        self.gateway.pool.drop_connecting()
+        self.tell(self.standing.anew(now, f"stood still for {gap:.2f} s"))
+        if self.gateway.begun:
+            self.gateway.watch_again()
+            if self.seeing is not None and self.seeing.active():
+                self.seeing.cancel()
+            self.seeing = self.reactor.callLater(SEE_WAIT, self.see)
+
+    def told(self) -> None:
+        """Discovery has spoken."""
+        self.standing.listed = True
+        self.gateway.decisions.blind = False
+
+    def see(self) -> None:
+        """It had its time: go by the list there is."""
+        if self.gateway.decisions.blind:
+            count("list_old_after_pause")
+            self.gateway.decisions.blind = False
+
+    def waited(self, handle: Any, now: float) -> float:
+        """Seconds that bytes about to be read have lain here, as far as a pause held them up.
+
+        The kernel tells it of the newest bytes; a request before others of its channel is older yet.
+        """
+        self.turn(now)
+        if now - self.woke_at > OLD_FOR:
+            return 0.0
+        try:
+            info = handle.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, INFO_BYTES)
+            age = LAST_DATA.unpack_from(info, LAST_DATA_AT)[0] / 1000
+        except (OSError, struct.error):  # not told here: nothing is known of its age
+            return 0.0
+        return min(age, self.gap + now - self.woke_at)
--- a/corkdeal/net/rpc.py
+++ b/corkdeal/net/rpc.py
@@ -74,9 +74,11 @@
         self.number = 0
         self.open: set[int] = set()  # the ids of RPCs without an answer
 
-    def read(self, frame: Frame, now: float) -> RPC:
+    def read(self, frame: Frame, now: float, waited: float = 0.0) -> RPC:
         """One API command that has come whole; its wait counts from its last byte, as a request's time does.
 
+        `waited` is how long that byte has lain here, in s, where this process stood still.
+
         All is checked here: what is wrong would spoil a customer's quota, or be held against a backend.
         """
         write = frame.text(1).upper() == WRITE
@@ -105,10 +107,10 @@
         self.open.add(rid)
         at = 2 if raw.startswith(b"d=") else raw.index(b",d=") + 3
         stop = raw.find(b",", at)
-        deadline = now + wait / 1000 - CLIENT_WAY
+        deadline = now - waited + wait / 1000 - CLIENT_WAY
         self.number += 1
         return RPC(t.Request(self.number, customer, plan, cls, units, first, spread, max(0.0, deadline - now),
-                             given.get(b"r") == b"1", write),
+                             given.get(b"r") == b"1", write, waited),
                    rid, frame, at, stop if stop >= 0 else len(raw), deadline)
 
     def read_head(self, frame: Frame, left: int, now: float) -> RPC:
--- a/corkdeal/net/subchannel.py
+++ b/corkdeal/net/subchannel.py
@@ -54,11 +54,16 @@
         self.sender: Sender | None = None  # what writes a long command, until it is whole
         self.idle_since = 0.0
         self.connector: Any = None
+        self.begun_at: float | None = None  # when its attempt was written, or began to be
         attempt.conn = self
 
     def connectionMade(self) -> None:
         """Up: write the attempt that it was opened for."""
         self.up = True
+        if self.pool.turn is not None:
+            self.pool.turn()  # may end the attempt, where the process stood still while it connected
+        if self.ended:
+            return
         self.transport.setTcpNoDelay(True)
         if self.attempt is None:
             return self.close()
@@ -66,7 +71,7 @@
 
     def begin(self, attempt: Attempt) -> None:
         """Write an attempt; from its first byte on it counts as sent."""
-        self.attempt, attempt.conn = attempt, self
+        self.attempt, attempt.conn, self.begun_at = attempt, self, self.pool.now()
         if attempt.rpc is None or attempt.rpc.body is None:
             gather.write(self.transport, attempt.parts)
             return
@@ -223,6 +228,7 @@
         self.addresses: dict[str, tuple[str, int]] = {}
         self.idle: dict[str, list[Subchannel]] = {}
         self.open: set[Subchannel] = set()
+        self.turn: Callable[[], None] | None = None  # called before an attempt is written on a new connection
 
     def send(self, attempt: Attempt) -> None:
         """Write the attempt on the connection that was used last and has settled, or on a new one."""
@@ -244,6 +250,11 @@
         self.open.add(conn)
         conn.connector = self.reactor.connectTCP(*at, Dial(conn), timeout=self.connect_timeout)
 
+    def drop_connecting(self) -> None:
+        """End the attempts that have not been written yet; this says nothing of their backends."""
+        for conn in [c for c in self.open if c.attempt and not c.attempt.over and c.begun_at is None]:
+            self.give_up(conn.attempt, t.Status.MOOT)
+
     def make_room(self) -> bool:
         """Close the connection that has stood idle for longest."""
         if spare := [conns[0] for conns in self.idle.values() if conns]:
--- a/corkdeal/options/records.py
+++ b/corkdeal/options/records.py
@@ -51,6 +51,11 @@
     stop_wait: float = setting(0.5, least=0.0, most=10.0)  # and at the end
 
 
+@dataclass(frozen=True, kw_only=True)
+class RecoveryOptions:
+    """`recovery`: coming back after a start or a pause; it has nothing to set."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class NetOptions:
     """`net "10.1.0.0/16"`: a net of a hall."""
@@ -95,3 +100,4 @@
     log: LogOptions | None = None
     knowledge: KnowledgeOptions | None = None
     halls: HallsOptions | None = None
+    recovery: RecoveryOptions | None = None
--- a/corkdeal/plumbing.py
+++ b/corkdeal/plumbing.py
@@ -41,6 +41,7 @@
         self.token, self.round, self.ticking, self.begun = 0, 0, False, False
         self.earlier: memory.Memory | None = None  # of an earlier life
         self.touched: set[int] | None = None  # customers met since a keeper last looked, if there is one
+        self.blind = False  # the list may be old: nothing is sent by it
         self.part = 1.0  # of this gateway's quota that is this life's, while two of them serve
         self.born = 0  # own incarnation, ms; 0 until the first event
         self.peer_born: dict[int, int] = {}
--- a/corkdeal/standin/fleet.py
+++ b/corkdeal/standin/fleet.py
@@ -71,11 +71,17 @@
     }
 
 
-def free(kind: int = socket.SOCK_STREAM) -> str:
+def free(kind: int = socket.SOCK_STREAM, host: str = "127.0.0.1") -> str:
     """A free loopback address."""
     with socket.socket(socket.AF_INET, kind) as s:
-        s.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{s.getsockname()[1]}"
+        s.bind((host, 0))
+        return f"{host}:{s.getsockname()[1]}"
+
+
+def own_host() -> str:
+    """A loopback address of this process alone: no connection's own end takes a dead gateway's port there."""
+    pid = os.getpid()
+    return f"127.{100 + (pid >> 16) % 100}.{pid >> 8 & 255}.{pid & 255}"
 
 
 class Ended(RuntimeError):
--- a/corkdeal/standin/history.py
+++ b/corkdeal/standin/history.py
@@ -111,6 +111,7 @@
     """All rules; `end` is when clients stopped listening, `slack` what stand-ins may be late themselves."""
     return [
         *final_answers(history, end),
+        *sent_too_late(history, slack),
         *at_once(history),
         *told_away(history, slack),
         *beyond(history, quotas),
@@ -129,6 +130,15 @@
     return made
 
 
+def sent_too_late(history: History, slack: float) -> list[Broken]:
+    """Nothing sent on after its client's time was over."""
+    return [
+        Broken("nothing sent on after its time", (str(t), str(a)))
+        for a in history.attempts
+        if (t := history.tries.get(a.request)) is not None and a.at > t.until + slack
+    ]
+
+
 def at_once(history: History) -> list[Broken]:
     """Never two attempts of one request at the same time."""
     return [Broken("never two attempts at once", (str(a),)) for a in history.attempts if a.beside]
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -23,10 +23,11 @@
     "wire": {"interface"},
     "drill": {"wire", "brain"},
     "logs": set(),
+    "recovery": DECIDING,
     "options": {"halls"},
     "knowledge": DECIDING | {"logs", "options"},
     "standin": DECIDING | {"wire", "options", "logs", "net"},
-    "net": DECIDING | {"wire", "logs", "options", "knowledge"},
+    "net": DECIDING | {"wire", "logs", "options", "knowledge", "recovery"},
     "experiment": DECIDING | {"halls", "wire", "options", "knowledge", "standin", "net", "logs"},
     "cli": {"halls", "options", "knowledge", "net", "experiment", "standin", "logs"},
     "__main__": {"cli"},
@@ -62,7 +63,7 @@
             inner = len(parts) > 1 and parts[0] == "corkdeal" and parts[1]
             if inner and inner not in MAY[home] | {home, "__version__", "Gateway"}:
                 wrong.append(f"{path.relative_to(ROOT)} imports {name}")
-            pure = home in PURE or home == "knowledge" and path.stem in KNOWLEDGE_PURE
+            pure = home in PURE or home == "recovery" or home == "knowledge" and path.stem in KNOWLEDGE_PURE
             if pure and parts[0] in DOING:
                 wrong.append(f"{path.relative_to(ROOT)} decides and imports {name}")
     assert not wrong
@@ -75,7 +76,8 @@
         "from corkdeal.net.__main__ import main; main()\n"
         "from twisted.internet import reactor\n"
         "bad = {'structlog', 'msgspec', 'zstandard', 'blake3', 'kdl', 'click', 'numpy'} & set(sys.modules)\n"
-        "off = tuple('corkdeal.' + p for p in ('knowledge', 'memory', 'options', 'cli', 'halls'))\n"
+        "off = ('knowledge', 'memory', 'options', 'cli', 'halls', 'recovery')\n"
+        "off = tuple('corkdeal.' + p for p in off)\n"
         "sys.exit(', '.join(bad | {m for m in sys.modules if m.startswith(off)}) or 0)"
     )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT)
--- a/tests/tier/test_tier.py
+++ b/tests/tier/test_tier.py
@@ -57,3 +57,16 @@
         asyncio.run(made.run())
     assert made.gateways and not any(alive(g) for g in made.gateways)
     assert made.gateways[0].process.returncode == -signal.SIGKILL
+
+
+def test_gateways_that_stood_still_send_nothing_old_and_nothing_to_a_server_gone_meanwhile(tmp_path):
+    made, seen = play(
+        SMALL.replace("servers=3", "servers=4")
+        + 'seconds=9.0\nat 1.0 { stop "0,1"; }\nat 2.0 { servers "0,1" what="gone"; }\n'
+        'at 6.5 { continue "all"; }',
+        tmp_path,
+    )
+    assert not [b for b in seen["broken"] if "answer" not in b["rule"]]
+    logs = [(tmp_path / f"n{i}.log").read_text() for i in range(3)]
+    assert ["stood still" in log for log in logs] == [True, True, False]
+    assert made.history.attempts[-1].at > 6.5 and seen["outcomes"]["failed"] > 0
