Take up slices and ledgers after a start from the neighbours that hold the pairs' totals

Need: a gateway that started again set its pairs to zero at both ends, so its customers lost the slices that had followed their demand, and its zero demand then gave even the even share away. Change: with recovery, a neighbour that went on keeps the totals and tells them with its first word; the start sends it no notes before that or 1 s, takes the totals without a change to its bucket, and begins with the demand that balances the neighbour's. Neighbours without the change are understood: zeros at both ends.

--- a/corkdeal/brain.py
+++ b/corkdeal/brain.py
@@ -429,7 +429,8 @@
             for peer, pair in a.pairs.items():
                 want = low or pair.due or self.short(a, *self.told(a, pair))
                 awake = awake or want
-                if self.now - pair.sent_at >= (TRADE_EVERY / 2 if want else IDLE_TELL if awake else math.inf):
+                wait = TRADE_EVERY / 2 if want else IDLE_TELL if awake else math.inf
+                if self.now - pair.sent_at >= wait and self.cleared(peer):
                     due[peer].append(self.note(key, a, peer))
             if not awake:  # an end with nothing to tell is silent, else notes go to and fro for ever
                 del self.lively[key]
--- a/corkdeal/experiment/tier.py
+++ b/corkdeal/experiment/tier.py
@@ -403,7 +403,9 @@
             for w in (1.0, 5.0, 30.0)
         }
         broken = check(self.history, quotas, end, SLACK)
-        first = min((s.second for s in steps(self.schedule)), default=self.tier.seconds)
+        planned = steps(self.schedule)
+        away = [s.second for s in planned if s.kind in ("kill", "term", "stop")]
+        first = min(away or [s.second for s in planned], default=self.tier.seconds)
         last = max((a.end if a.end < NEVER else a.begin for a in self.history.away), default=first)
         return {
             "seed": self.seed,
--- a/corkdeal/net/recovery.py
+++ b/corkdeal/net/recovery.py
@@ -12,6 +12,7 @@
 
 from .. import logs
 from ..recovery import waking
+from ..recovery.ledgers import Ledgers
 from ..recovery.pulse import Pulse
 from ..recovery.standing import Left, Standing
 from .invariants import count
@@ -31,6 +32,7 @@
         self.pulse, self.standing = Pulse(), Standing(gateway.now())
         self.woke_at = self.gap = 0.0
         self.seeing: Any = None  # the call that ends the wait for discovery
+        gateway.decisions.ledgers = Ledgers()
         gateway.pool.turn = lambda: self.turn(gateway.now())
 
     def start(self) -> None:
--- a/corkdeal/plumbing.py
+++ b/corkdeal/plumbing.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:  # imported where an earlier life's knowledge is used; without one it costs nothing
     from . import memory
+    from .recovery.ledgers import Ledgers
 
 
 def later(a: int, b: int) -> bool:
@@ -41,6 +42,7 @@
         self.token, self.round, self.ticking, self.begun = 0, 0, False, False
         self.earlier: memory.Memory | None = None  # of an earlier life
         self.touched: set[int] | None = None  # customers met since a keeper last looked, if there is one
+        self.ledgers: Ledgers | None = None  # of taking up slices after a start, where that is on
         self.blind = False  # the list may be old: nothing is sent by it
         self.part = 1.0  # of this gateway's quota that is this life's, while two of them serve
         self.born = 0  # own incarnation, ms; 0 until the first event
@@ -106,6 +108,8 @@
         if self.earlier and (known := self.earlier.account(customer, a.plan, a.first, a.spread, self.now)):
             from . import memory
             memory.put_account(a, known, self.earlier.resumes(), self.peer_born)
+        if self.ledgers is not None:
+            self.ledgers.met(self, a)
 
     def set_deadline(self, rid: int, delay: float) -> None:
         """Have the request's last moment announced."""
@@ -157,9 +161,14 @@
         born, mine, number, notes = message
         self.peer_heard[e.peer] = self.now
         if born != known:
-            self.tell(e.peer, [])
+            given = self.ledgers.given(self, e.peer) if self.ledgers is not None else []
+            self.tell(e.peer, [self.note(key, a, e.peer) for key, a in given])
+        if self.ledgers is not None and mine == self.born:
+            self.ledgers.told.add(e.peer)
         replies = []
         for note in notes if mine == self.born else []:
+            if self.ledgers is not None:
+                self.ledgers.take(self, e.peer, note)
             replies += self.take_note(e.peer, number, note)
         if replies:
             self.tell(e.peer, replies)
@@ -170,7 +179,8 @@
         if known is None or later(born, known):
             self.peer_born[peer] = born
             for a in self.accounts.values():
-                a.pairs.update({peer: Pair()} if peer in a.pairs else {})
+                if peer in a.pairs:
+                    a.pairs[peer] = Pair() if self.ledgers is None else self.ledgers.kept(a.pairs[peer])
                 if peer in a.edges:
                     a.edges[peer].heard = None
         return born == self.peer_born[peer]
@@ -187,6 +197,10 @@
         for peer, notes in due.items() if self.s.may_tell_peers else ():
             self.out += [t.Tell(peer, message) for message in peers.pack_totals(self.born, notes)]
 
+    def cleared(self, peer: int) -> bool:
+        """Whether that neighbour has told what it holds of an earlier life, so that notes may go to it."""
+        return self.ledgers is None or self.ledgers.cleared(self, peer)
+
     def note(self, key: int, a: Account, peer: int) -> peers.Note:
         """One customer's state and running totals for one neighbour."""
         pair = a.pairs[peer]
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -13,7 +13,7 @@
     "peers": {"interface"},
     "cold": {"interface", "state"},
     "memory": {"interface", "state"},
-    "plumbing": {"interface", "memory", "peers", "state"},
+    "plumbing": {"interface", "memory", "peers", "state", "recovery"},
     "brain": DECIDING - {"brain", "early", "succession"},
     "early": {"interface", "brain"},
     "succession": {"interface", "memory", "brain"},
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -1,12 +1,16 @@
 """Coming back after a pause or a start: what is old is not used, states are left for their reasons."""
 
+import random
+
 import pytest
 
+from corkdeal import brain
 from corkdeal import interface as t
 from corkdeal.recovery import waking
+from corkdeal.recovery.ledgers import Ledgers
 from corkdeal.recovery.pulse import LEAST, Pulse
 from corkdeal.recovery.standing import Standing, together
-from tests.helpers import Ring, outcome, pick, request
+from tests.helpers import PLAN, Ring, outcome, pick, request, servers, settings
 
 
 def test_a_pulse_tells_a_pause_once_and_a_busy_turn_not_at_all():
@@ -128,3 +132,70 @@
     left = standing.anew(9.0, "stood still for 4.00 s")
     assert (left.state, left.before, standing.state) == ("returning", "full", "returning")
     assert walk(standing, 5.0, began=9.0)[-1][0] == "full"
+
+
+class Returning(Ring):
+    """A ring whose gateways take up slices after a start."""
+
+    def start(self, me, gateways=3):
+        made = brain.Gateway(settings(me, gateways, plans=(self.plan,)), seed=me)
+        made.ledgers = Ledgers()
+        self.gateways[me] = made
+        self.take(me, made.handle(self.now, [servers("a", "b", "c")]))
+
+    def again(self, *who):
+        """Those are killed, lose what was on its way to them, and start again."""
+        for me in who:
+            del self.gateways[me]
+        self.run(0.6, BUSY)
+        for me in who:
+            self.start(me, 3)
+
+
+def BUSY(me):
+    return 0.6 if me == 0 else 0.03
+
+
+@pytest.mark.parametrize("who", [0, 1, 2])
+def test_one_that_starts_again_takes_up_its_slice_from_its_neighbours(who):
+    ring = Returning()
+    ring.run(10.0, BUSY)
+    before = ring.slices()
+    assert before[0] > 0.6
+    ring.again(who)
+    ring.run(0.6, BUSY)
+    assert ring.slices()[who] == pytest.approx(before[who], abs=0.1)
+    ring.run(1.0, BUSY)
+    assert sum(ring.slices().values()) == pytest.approx(1.0, abs=1e-9)
+
+
+@pytest.mark.parametrize("who", [(0, 1), (1, 2), (0, 1, 2)])
+@pytest.mark.parametrize("loss", [0.0, 0.12, 0.4])
+def test_slices_are_conserved_whoever_starts_again_and_whatever_is_lost(who, loss):
+    ring, chance = Returning(), random.Random(loss)
+    ring.run(10.0, BUSY)
+    ring.lost = lambda sender, to, number: chance.random() < loss
+    ring.again(*who)
+    ring.run(3.0, BUSY)
+    ring.lost = lambda *a: False
+    ring.run(1.0, lambda me: 0.3)
+    assert sum(ring.slices().values()) == pytest.approx(1.0, abs=1e-9)
+
+
+def test_a_neighbour_of_before_that_change_is_understood():
+    ring = Returning()
+    ring.run(10.0, BUSY)
+    for g in ring.gateways.values():
+        g.ledgers = None
+    ring.again(0)
+    ring.run(2.0, BUSY)
+    assert sum(ring.slices().values()) == pytest.approx(1.0, abs=1e-9)
+
+
+def test_a_wide_ring_saves_nothing_up_at_a_start_that_others_may_have_spent():
+    made = brain.Gateway(settings(0, 20), seed=1)
+    made.ledgers = Ledgers()
+    made.handle(100.0, [servers("a"), request(1, spread=20)])
+    early = made.accounts[7].level
+    made.handle(110.0, [request(2, customer=8, spread=20)])
+    assert early < 0.4 * PLAN.burst <= 0.6 * PLAN.burst < made.accounts[8].level
