Ask neighbours before a stored ledger is believed, and refuse another gateway's store

Need: a store put back to an older copy went on as the old incarnation with rounds that neighbours had heard, so its notes were dropped until it caught up; a folder swapped with a neighbour's was taken as its own. Change: with recovery a start is always a new incarnation; stored ledgers stand in until a neighbour tells, of two levels the lower one counts. A document of another name is refused whole, with a line. What an upgrade hands on is exact and goes on as before.

--- a/corkdeal/knowledge/keeper.py
+++ b/corkdeal/knowledge/keeper.py
@@ -106,6 +106,9 @@
         """Give a document to the decisions."""
         document = loaded.document
         assert document is not None
+        if document.head.name != self.gateway.config.name:
+            self.counts["knowledge_foreign"] += 1
+            return logs.event("knowledge_foreign", file=loaded.file, name=document.head.name)
         age, odd = clock.age(document.head.clock, clock.read_clocks())
         self.counts.update(odd)
         pool = self.gateway.pool
--- a/corkdeal/knowledge/recall.py
+++ b/corkdeal/knowledge/recall.py
@@ -26,6 +26,8 @@
 class Recall:
     """A `memory.Memory` made of one document."""
 
+    exact = False
+
     def __init__(self, document: Document, age: float, now: float, settings: t.Settings,
                  address_of: Callable[[str], str], counts: Counter[str]) -> None:
         """`age` is the document's in s, `now` the module's clock; `address_of` tells where a server is."""
--- a/corkdeal/logs/events.py
+++ b/corkdeal/logs/events.py
@@ -42,6 +42,7 @@
     "knowledge_none": (INFO, "the folder holds no knowledge: folder"),
     "knowledge_refused": (WARN, "a file was not loaded and is left where it is: file, why"),
     "knowledge_useless": (WARN, "a whole file was read, but nothing in it counts any more: file, age, odd"),
+    "knowledge_foreign": (WARN, "the folder holds another gateway's knowledge; none is used: file, name"),
     "knowledge_late": (WARN, "the store did not answer in time; serving without: waited"),
     "knowledge_locked": (WARN, "another process of this name keeps the folder; serving without: folder"),
     "knowledge_unlocked": (INFO, "the folder is free; writing from now on: folder"),
--- a/corkdeal/memory.py
+++ b/corkdeal/memory.py
@@ -105,6 +105,8 @@
 class Memory(Protocol):
     """What an earlier life learned, aged; each record is given once, in the module's clock."""
 
+    exact: bool  # whether it comes from that life itself, and not from a store that may hold an older copy
+
     def fleet(self, now: float, first_work: dict[str, float]) -> FleetMemory:
         """The fleet's record; `first_work` is what a class of that name takes where nothing is known, in s.
         """
--- a/corkdeal/net/program.py
+++ b/corkdeal/net/program.py
@@ -23,11 +23,11 @@
         self.options = options
         self.gateway = Gateway(reactor, config)
         self.keeper: Keeper | None = None
-        if options and options.knowledge:
-            self.keep(options).load()
-        if options and options.recovery:
+        if options and options.recovery:  # before the store is read: neighbours are asked as well
             from .recovery import Recovery
             self.gateway.recovery = Recovery(reactor, self.gateway)
+        if options and options.knowledge:
+            self.keep(options).load()
 
     def start(self) -> None:
         """Begin to serve; knowledge is in force by now."""
--- a/corkdeal/plumbing.py
+++ b/corkdeal/plumbing.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:  # imported where an earlier life's knowledge is used; without one it costs nothing
     from . import memory
     from .recovery.ledgers import Ledgers
+    from .recovery.opening import Opening
 
 
 def later(a: int, b: int) -> bool:
@@ -43,6 +44,7 @@
         self.earlier: memory.Memory | None = None  # of an earlier life
         self.touched: set[int] | None = None  # customers met since a keeper last looked, if there is one
         self.ledgers: Ledgers | None = None  # of taking up slices after a start, where that is on
+        self.opening: Opening | None = None  # the budget of the first seconds after a pause
         self.blind = False  # the list may be old: nothing is sent by it
         self.part = 1.0  # of this gateway's quota that is this life's, while two of them serve
         self.born = 0  # own incarnation, ms; 0 until the first event
@@ -75,8 +77,12 @@
         return self.out
 
     def resumed(self) -> bool:
-        """Whether it goes on as an earlier incarnation, with that one's ledgers."""
-        return self.earlier is not None and self.earlier.resumes()
+        """Whether it goes on as an earlier incarnation, with that one's ledgers.
+
+        What was stored may be an older copy, so where neighbours are asked it never does on a store's word.
+        """
+        return self.earlier is not None and self.earlier.resumes() and (
+            self.ledgers is None or self.earlier.exact)
 
     def take_fleet(self, known: memory.FleetMemory) -> None:
         """Take usual work from an earlier life, and its incarnation or, where that is over, a later one."""
@@ -107,7 +113,9 @@
         """Give an account that was just made what an earlier life knew of it."""
         if self.earlier and (known := self.earlier.account(customer, a.plan, a.first, a.spread, self.now)):
             from . import memory
-            memory.put_account(a, known, self.earlier.resumes(), self.peer_born)
+            memory.put_account(a, known, self.resumed(), self.peer_born)
+            if self.ledgers is not None and not self.resumed():
+                self.ledgers.recalled(a, known, self.earlier.resumes())
         if self.ledgers is not None:
             self.ledgers.met(self, a)
 
@@ -197,6 +205,10 @@
         for peer, notes in due.items() if self.s.may_tell_peers else ():
             self.out += [t.Tell(peer, message) for message in peers.pack_totals(self.born, notes)]
 
+    def opens(self) -> bool:
+        """Whether the budget of the first seconds, if there is one, has room for a first attempt."""
+        return self.opening is None or self.opening.allows(self.now)
+
     def cleared(self, peer: int) -> bool:
         """Whether that neighbour has told what it holds of an earlier life, so that notes may go to it."""
         return self.ledgers is None or self.ledgers.cleared(self, peer)
--- a/corkdeal/recovery/ledgers.py
+++ b/corkdeal/recovery/ledgers.py
@@ -8,7 +8,9 @@
   asks for;
 - what it is told it takes as its side of the pair, without a change to its bucket: that was spent before;
 - its demand begins where slices and demand would be in balance with the neighbour's, and fades into its own;
-- where nobody tells it anything it begins at zero, and its first note sets the other end to zero as well.
+- what a store holds stands in until then; it may be an older copy, so the neighbour's word goes before it;
+- where nobody tells it anything and no store does, it begins at zero, and its first note sets the other
+  end to zero as well.
 
 So in each case both ends have the same totals after the first notes that come through, and the total of
 slices is that of the design. A wide ring has no ledgers but running totals of what was spent; a start
@@ -25,6 +27,7 @@
 
 if TYPE_CHECKING:
     from ..brain import Gateway
+    from ..memory import AccountMemory
 
 PEERS_WAIT = 1.0  # s that neighbours have to tell; three trades and a late message
 WIDE_SPAN = 4.0  # s after a start in which a wide ring's news may not have come yet
@@ -40,6 +43,16 @@
         self.asked: set[int] = set()
         self.told: set[int] = set()  # neighbours that have spoken to this life of the gateway
 
+    def recalled(self, a: Account, m: AccountMemory, fresh: bool) -> None:
+        """A store knew the account: its ledgers stand until a neighbour says otherwise.
+
+        It may be an older copy, so the neighbour's word goes before it, and of two levels the lower counts.
+        """
+        a.caught_up = False
+        for p in m.pairs if fresh else ():
+            if p.peer in a.pairs:
+                a.pairs[p.peer] = Pair(p.slice, p.units, told_totals=True)
+
     def met(self, d: Gateway, a: Account) -> None:
         """An account was just made: ask its neighbours, and trust no level that others may have spent."""
         if self.begun is None:
--- a/corkdeal/succession.py
+++ b/corkdeal/succession.py
@@ -54,6 +54,8 @@
 class Given:
     """A `memory.Memory` of which only a part was given, at `part` of what it says."""
 
+    exact = True
+
     def __init__(self, known: memory.Memory, part: float) -> None:
         self.known, self.part = known, part
         self.totals: dict[int, tuple[float, float]] = {}  # what was asked and spent when an account came over
--- a/tests/knowledge/test_keeper.py
+++ b/tests/knowledge/test_keeper.py
@@ -202,3 +202,23 @@
     from corkdeal.knowledge.clock import Reading
 
     return Reading(0.0, 100.0, "x")
+
+
+def test_a_folder_swapped_with_a_neighbours_is_found_out_and_not_used(world):
+    keeper = world.keeper(every=2.0)
+    keeper.load()
+    keeper.start()
+    world.reactor.turn(2.0)
+    world.reactor.take()
+    ended = []
+    keeper.stop(lambda: ended.append(1))
+    world.reactor.take()
+    assert ended and files(world)
+    (world.path / "n0").rename(world.path / "n1")
+    other = world.keeper()
+    other.gateway.config.name = "n1"
+    other = world.keeper()
+    while world.lines[-1] != "knowledge_foreign":  # the first may still be letting go of the folder
+        other.load()
+    assert other.collector.recall is None and world.counts["knowledge_foreign"]
+    other.stop(lambda: None)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -4,10 +4,11 @@
 
 import pytest
 
-from corkdeal import brain
+from corkdeal import brain, memory
 from corkdeal import interface as t
 from corkdeal.recovery import waking
 from corkdeal.recovery.ledgers import Ledgers
+from corkdeal.recovery.opening import TIMES, Opening, Usual
 from corkdeal.recovery.pulse import LEAST, Pulse
 from corkdeal.recovery.standing import Standing, together
 from tests.helpers import PLAN, Ring, outcome, pick, request, servers, settings
@@ -199,3 +200,88 @@
     early = made.accounts[7].level
     made.handle(110.0, [request(2, customer=8, spread=20)])
     assert early < 0.4 * PLAN.burst <= 0.6 * PLAN.burst < made.accounts[8].level
+
+
+def test_what_is_sent_after_a_pause_stays_within_the_usual_rate_and_the_rest_is_refused_at_once():
+    usual = Usual()
+    for tick in range(200):
+        usual.look(100 + tick / 10, tick)  # ten a second
+    assert usual.rate == pytest.approx(10.0, rel=0.05)
+    opening = Opening(130.0, usual.rate)
+    sent = [at for at in (130 + n / 100 for n in range(200)) if opening.allows(at)]
+    for begin in range(8):
+        inside = [at for at in sent if 130 + begin / 4 <= at < 130.25 + begin / 4]
+        assert len(inside) <= 2 * TIMES * usual.rate / 4 + 1
+    assert len(sent) == pytest.approx(TIMES * usual.rate * 2.25, abs=2)
+    one = Ring(1).gateways[0]
+    one.opening = Opening(101.0, 0.0)
+    acts = [one.handle(101.0, [request(n, spread=1)]) for n in range(1, 4)]
+    assert [len(pick(a, t.Send)) for a in acts] == [1, 0, 0] and pick(acts[1], t.Refuse)
+    assert one.causes["inside_opening"] == 2
+
+
+class Stored:
+    """A store's document of one account, as `knowledge/recall.py` gives it; maybe an older copy."""
+
+    exact = False
+
+    def __init__(self, account, born, peers):
+        self.account_record, self.born, self.peers = account, born, peers
+
+    def fleet(self, now, first_work):
+        return memory.FleetMemory(
+            0.5, 1.0, 10.0, born=self.born, round=1 << 20, me=0, gateways=3, peers=self.peers
+        )
+
+    def resumes(self):
+        return True
+
+    def server(self, entry, now):
+        return None
+
+    def account(self, customer, plan, first, spread, now):
+        return self.account_record
+
+
+def stored(ring, me):
+    g = ring.gateways[me]
+    record = memory.account_of(g.accounts[7], 0.0, g.peer_born)
+    return Stored(record, g.born, tuple(g.peer_born.items()))
+
+
+@pytest.mark.parametrize("who", [0, 1, 2])
+def test_an_older_copy_of_a_store_gives_way_to_what_neighbours_hold(who):
+    ring = Returning()
+    ring.run(2.0, BUSY)
+    older = stored(ring, who)
+    ring.run(10.0, BUSY)
+    now, low = ring.slices(), ring.gateways[(who + 1) % 3].accounts[7]
+    del ring.gateways[who]
+    ring.run(0.6, BUSY)
+    made = brain.Gateway(settings(who, 3), seed=9)
+    made.ledgers = Ledgers()
+    made.remember(older)
+    ring.gateways[who] = made
+    ring.take(who, made.handle(ring.now, [servers("a", "b", "c")]))
+    assert made.born > older.born
+    ring.run(0.6, BUSY)
+    assert ring.slices()[who] == pytest.approx(now[who], abs=0.1)
+    ring.run(1.0, BUSY)
+    assert sum(ring.slices().values()) == pytest.approx(1.0, abs=1e-9) and low.level <= PLAN.burst
+
+
+def test_where_all_started_again_the_stores_stand_in_for_the_neighbours():
+    ring = Returning()
+    ring.run(10.0, BUSY)
+    before, stores = ring.slices(), [stored(ring, me) for me in range(3)]
+    ring.now += 1.0
+    ring.flight.clear()
+    for me in range(3):
+        made = ring.gateways[me] = brain.Gateway(settings(me, 3), seed=9)
+        made.ledgers = Ledgers()
+        made.remember(stores[me])
+        ring.take(me, made.handle(ring.now, [servers("a", "b", "c")]))
+    ring.run(0.5, BUSY)
+    assert ring.slices()[0] == pytest.approx(before[0], abs=0.1)
+    ring.run(2.0, BUSY)
+    assert sum(ring.slices().values()) == pytest.approx(1.0, abs=1e-9)
