Open a gateway again within its usual rate after a pause, and hold back retries at a start

Need: five of ten gateways woke after 8 s and sent 3.2 to 3.6 times the tier's usual rate in 250 ms, and answered old messages of their peers with 2.8 times the usual datagrams; 150 starts at once begin with 1,500 saved-up retries. Change: from a wake until full service first attempts come out of a budget of 1.25 times the gateway's usual rate, the rest is refused at once; datagrams of the pause are as good as lost; a start has one retry saved up until its neighbours' incarnations show that few started with it.

--- a/corkdeal/brain.py
+++ b/corkdeal/brain.py
@@ -194,10 +194,10 @@
         self.set_deadline(e.id, e.patience - 2 * self.s.tick)
         req.inside = self.part > 0 and self.admits(a, e.units, share)
         worth_it = req.inside or a.plan.over_worth > a.plan.over_cost
-        if worth_it and not (a.plan.ceiling_rate and a.ceiling < e.units):
+        if worth_it and not (a.plan.ceiling_rate and a.ceiling < e.units) and self.opens():
             return self.dispatch(req)
         wait = (e.units - a.level) / (self.rate(a) * share + 1e-6)
-        self.answer(req, wait if a.plan.rate else self.typical(req), "quota")
+        self.answer(req, wait if a.plan.rate else self.typical(req), "opening" if worth_it else "quota")
 
     def dispatch(self, req: Pending) -> None:
         """Send the next attempt, hold while no server can be used, refuse what can't be in time."""
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -314,7 +314,9 @@
         return True
 
     def heard(self, peer: int, payload: bytes) -> None:
-        """A peer's datagram."""
+        """A peer's datagram; one that came while the process stood still is as good as lost."""
+        if self.decisions.blind:
+            return count("datagram_old")
         self.feed(t.PeerMessage(peer, payload))
 
     def told(self, result: ResolverResult) -> None:
--- a/corkdeal/net/recovery.py
+++ b/corkdeal/net/recovery.py
@@ -13,8 +13,9 @@
 from .. import logs
 from ..recovery import waking
 from ..recovery.ledgers import Ledgers
+from ..recovery.opening import Opening, Usual
 from ..recovery.pulse import Pulse
-from ..recovery.standing import Left, Standing
+from ..recovery.standing import RETRIES, Left, Standing
 from .invariants import count
 
 LOOK_EVERY = 0.1  # s between looks, which are the beats
@@ -29,8 +30,9 @@
 
     def __init__(self, reactor: Any, gateway: Any) -> None:
         self.reactor, self.gateway = reactor, gateway
+        self.usual = Usual()
         self.pulse, self.standing = Pulse(), Standing(gateway.now())
-        self.woke_at = self.gap = 0.0
+        self.woke_at = self.gap = self.saved_up = 0.0
         self.seeing: Any = None  # the call that ends the wait for discovery
         gateway.decisions.ledgers = Ledgers()
         gateway.pool.turn = lambda: self.turn(gateway.now())
@@ -38,6 +40,8 @@
     def start(self) -> None:
         """Begin to look."""
         self.standing = Standing(self.gateway.now())
+        self.saved_up = self.gateway.decisions.retries_left  # held back until it is known to be among few
+        self.gateway.decisions.retries_left = min(RETRIES, self.saved_up)
         self.look()
 
     def look(self) -> None:
@@ -46,6 +50,7 @@
         self.turn(now)
         heard = sum(decisions.peer_heard.get(p, 0.0) > self.standing.began and p in decisions.peer_born
                     for p in decisions.neighbours)
+        self.usual.look(now, self.gateway.tally["backend_calls"])
         causes = decisions.causes
         left = self.standing.look(now, heard, len(decisions.neighbours), self.gateway.tally["success"],
                                   sum(n for why, n in causes.items() if why.startswith("inside")))
@@ -57,6 +62,10 @@
         """A state was left."""
         decisions = self.gateway.decisions
         many = self.standing.among_many(decisions.born, decisions.peer_born)
+        if left.state == "full":
+            decisions.opening = None
+        if left.state == "learning" and not many:
+            decisions.retries_left, self.saved_up = max(decisions.retries_left, self.saved_up), 0.0
         logs.event("recovery", state=left.state, before=left.before, why=left.why,
                    among="many" if many else "few", after=round(left.after, 2))
 
@@ -68,6 +77,7 @@
     def woken(self, now: float, gap: float) -> None:
         """It did: age what is known, and send nothing by a list that may be old."""
         count("paused")
+        self.gateway.decisions.opening = Opening(now, self.usual.rate)
         self.woke_at, self.gap = now, gap
         self.gateway.decisions.blind = self.gateway.begun
         waking.wake(self.gateway.decisions, now, gap)
--- a/corkdeal/recovery/standing.py
+++ b/corkdeal/recovery/standing.py
@@ -20,6 +20,7 @@
 ANSWERS = 20  # after which a usual delay is known: the weight of one is 0.05
 TOGETHER = 10_000  # ms; a neighbour that started within so much of this one's start came back with it
 MANY_PART = 1 / 3  # of the neighbours heard
+RETRIES = 1.0  # further attempts that a start has saved up while it may be among many, of 10 otherwise
 WRAP = 1 << 32  # ms, at which incarnations begin anew
 
 
