--- a/corkdeal/experiment/explore.py
+++ b/corkdeal/experiment/explore.py
@@ -23,7 +23,7 @@
 PLAN = t.Plan(rate=6.0, burst=30.0)
 CLASS = t.RequestClass(aim=1.0, deadline=3.0)
 TICK = 0.3  # s: more than a trade, so each tick trades
-ASKS = (3, 1, 0)  # requests of one unit a tick, by gateway: more than the even share at the first
+ASKS = (3, 1, 1)  # requests of one unit a tick, by gateway: more than the even share at the first
 TRADED, QUIET = 20, 30  # ticks before the exploration and after it
 LIST = t.ServerList(t.ListKind.FULL, tuple(t.ServerEntry(n, t.ServerState.READY) for n in "abc"))
 
