Add up all gateways' figures by second and by cause: the fleet seen whole

Change: with the node figures a gateway writes its running totals every so many seconds; corkdeal experiment fleet adds up the logs of a folder, over restarts, as a table, JSON and a chart. Result: read in both forms of a line; off it costs two counts a message and one a connection.

--- a/corkdeal/cli/experiment.py
+++ b/corkdeal/cli/experiment.py
@@ -119,3 +119,24 @@
     made = experiment.explore(depth, walks, seed, together)
     click.echo(json.dumps(made, indent=1))
     raise SystemExit(1 if made["faults"] else 0)
+
+
+@command.command("fleet")
+@click.argument("folder", type=click.Path(exists=True, file_okay=False))
+@click.option(
+    "--out", type=click.Path(), help="The same as JSON, to a file ending in .json; with a chart beside it."
+)
+@click.option("--title", default="", help="Of the chart.")
+def fleet(folder: str, out: str | None, title: str) -> None:
+    """Add up the `figures` lines of all logs in a folder, by second and by cause."""
+    import pathlib
+
+    from ..experiment import fleet as experiment
+
+    seen = experiment.add_up(pathlib.Path(folder))
+    if not seen["rows"]:
+        raise click.ClickException(f"{folder}: no log there holds a line of figures")
+    if out:
+        pathlib.Path(out).write_text(json.dumps(seen, separators=(",", ":")))
+        experiment.chart(seen, str(pathlib.Path(out).with_suffix(".svg")), title or folder)
+    click.echo(experiment.table(seen))
--- a/corkdeal/logs/events.py
+++ b/corkdeal/logs/events.py
@@ -30,6 +30,7 @@
     "handover_not_written": (WARN, "nothing could be handed on: what, after, error"),
     "handover_off": (WARN, "the shared folder can't be used; quotas are not handed on: error"),
     "counts": (INFO, "every count that is not 0, where one changed"),
+    "figures": (INFO, "running totals since the start, and how things stand now (now_...)"),
     "recovery": (INFO, "how far it has come back: state, before, why, among few or many, after s"),
     "refused": (INFO, "requests given up on so far, by cause, inside and beyond quotas, where one was"),
     "module_failed": (ERROR, "the decisions raised; the RPCs of these events are failed: events, trace"),
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -315,6 +315,7 @@
 
     def heard(self, peer: int, payload: bytes) -> None:
         """A peer's datagram; one that came while the process stood still is as good as lost."""
+        self.tally["heard"] += 1
         if self.decisions.blind:
             return count("datagram_old")
         self.feed(t.PeerMessage(peer, payload))
@@ -406,6 +407,7 @@
 
     def tell(self, a: t.Tell) -> None:
         """A datagram."""
+        self.tally["told"] += 1
         self.peering.tell(a.peer, a.payload)
 
     def write_log(self, a: t.Log) -> None:
--- a/corkdeal/net/program.py
+++ b/corkdeal/net/program.py
@@ -33,6 +33,9 @@
         """Begin to serve; knowledge is in force by now."""
         if self.gateway.recovery is not None:
             self.gateway.recovery.start()
+        if self.options and self.options.figures:
+            from .figures import Figures
+            Figures(self.reactor, self.gateway, self.options.figures.every).start()
         if self.config.inherited is None:
             self.gateway.start()
         else:
--- a/corkdeal/net/subchannel.py
+++ b/corkdeal/net/subchannel.py
@@ -228,6 +228,7 @@
         self.addresses: dict[str, tuple[str, int]] = {}
         self.idle: dict[str, list[Subchannel]] = {}
         self.open: set[Subchannel] = set()
+        self.opened = 0  # since the start
         self.turn: Callable[[], None] | None = None  # called before an attempt is written on a new connection
 
     def send(self, attempt: Attempt) -> None:
@@ -248,6 +249,7 @@
             return self.finish(attempt, Reply(t.Status.MOOT))
         conn = Subchannel(self, attempt.server, attempt)
         self.open.add(conn)
+        self.opened += 1
         conn.connector = self.reactor.connectTCP(*at, Dial(conn), timeout=self.connect_timeout)
 
     def drop_connecting(self) -> None:
--- a/corkdeal/options/records.py
+++ b/corkdeal/options/records.py
@@ -56,6 +56,13 @@
     """`recovery`: coming back after a start or a pause; it has nothing to set."""
 
 
+@dataclass(frozen=True, kw_only=True)
+class FiguresOptions:
+    """`figures`: running totals as a line of the log."""
+
+    every: float = setting(10.0, least=0.25, most=3600.0)  # s
+
+
 @dataclass(frozen=True, kw_only=True)
 class NetOptions:
     """`net "10.1.0.0/16"`: a net of a hall."""
@@ -101,3 +108,4 @@
     knowledge: KnowledgeOptions | None = None
     halls: HallsOptions | None = None
     recovery: RecoveryOptions | None = None
+    figures: FiguresOptions | None = None
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,50 @@
+"""A fleet's logs added up: totals by second over restarts, in both forms of a line."""
+
+import io
+import pathlib
+
+import pytest
+
+from corkdeal import logs
+from corkdeal.experiment import fleet
+from corkdeal.logs import structured
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("3.500 2026-12-01T22:00:00+0000 [corkdeal#info] figures asked=3 now_slow=1.25", (3.5, 3.0)),
+        ("2026-12-01T01:02:03+0000 [corkdeal#info] figures asked=3", (3723.0, 3.0)),
+        ("2026-12-01T01:02:03+0000 [corkdeal#info] refused asked=3", None),
+        ("2026-12-01T01:02:03+0000 [corkdeal#info] module_says text='no figures asked=1'", None),
+        ('{"event": "figures", "asked": 3', None),
+    ],
+)
+def test_a_line_of_figures_is_told_from_others(text, expected):
+    found = fleet.line_of(text)
+    assert (found and (found[0], found[1]["asked"])) == expected
+
+
+def test_a_structured_line_is_read_as_well():
+    out = io.BytesIO()
+    logs.configure(structured.sink("json", "n0", out))
+    logs.event("figures", asked=7, now_slow=1.5)
+    logs.configure(None)
+    assert fleet.line_of(out.getvalue().decode())[1] == {"asked": 7.0, "now_slow": 1.5}
+
+
+def test_all_gateways_add_up_by_second_and_a_restart_takes_nothing_back(tmp_path):
+    def write(name, rows):
+        text = "".join(
+            f"{at:.3f} x [corkdeal#info] figures asked={a} busy={b} now_slow={s}\n" for at, a, b, s in rows
+        )
+        pathlib.Path(tmp_path, name).write_text("what else stands there\n" + text)
+
+    write("n0.log", [(1.0, 0, 0, 1.0), (2.0, 10, 1, 1.0), (3.2, 2, 0, 2.0), (4.0, 5, 5, 2.0)])
+    write("n1.log", [(1.5, 0, 0, 1.0), (2.5, 7, 0, 3.0)])
+    seen = fleet.add_up(tmp_path)
+    rows = {row["second"]: row for row in seen["rows"]}
+    assert rows[2] == {"second": 2, "gateways": 2, "asked": 17, "busy": 1, "now_slow": 2.0}
+    assert rows[3] == {"second": 3, "gateways": 1, "asked": 2, "starts": 1, "now_slow": 2.0}
+    assert seen["total"] == {"asked": 22, "busy": 6, "starts": 3} and seen["logs"] == 2
+    assert fleet.table(seen).splitlines()[2] == "| 1 | 2 | 2 | 0 | 0 | 1 |"
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -29,7 +29,7 @@
     ("text", "line", "column", "node", "said"),
     [
         ('log {\n  format "xml"\n}', 2, 10, "log.format", "must be one of text, json"),
-        ("\n  bogus 1", 2, 3, "bogus", "unknown node; known are halls, knowledge, log"),
+        ("\n  bogus 1", 2, 3, "bogus", "unknown node; known are figures, halls, knowledge, log"),
         ("log colour=true", 1, 12, "log.colour", "unknown setting"),
         ('log level="info" level=3', 1, 24, "log.level", "must be text"),
         ('log "json"', 1, 5, "log", "takes settings by name only"),
