--- a/corkdeal/net/recovery.py
+++ b/corkdeal/net/recovery.py
@@ -69,10 +69,11 @@
         logs.event("recovery", state=left.state, before=left.before, why=left.why,
                    among="many" if many else "few", after=round(left.after, 2))
 
-    def turn(self, now: float) -> None:
-        """Something is about to happen: whether the process stood still before it."""
+    def turn(self, now: float) -> bool:
+        """Something is about to happen: whether the process stood still before it, be it in mid-turn."""
         if gap := self.pulse.beat(now):
             self.woken(now, gap)
+        return gap > 0
 
     def woken(self, now: float, gap: float) -> None:
         """It did: age what is known, and send nothing by a list that may be old."""
--- a/corkdeal/net/subchannel.py
+++ b/corkdeal/net/subchannel.py
@@ -229,10 +229,12 @@
         self.idle: dict[str, list[Subchannel]] = {}
         self.open: set[Subchannel] = set()
         self.opened = 0  # since the start
-        self.turn: Callable[[], None] | None = None  # called before an attempt is written on a new connection
+        self.turn: Callable[[], bool] | None = None  # called before a write: whether the process stood still
 
     def send(self, attempt: Attempt) -> None:
         """Write the attempt on the connection that was used last and has settled, or on a new one."""
+        if self.turn is not None and self.turn():  # the process stood still since this was decided
+            return self.finish(attempt, Reply(t.Status.MOOT))
         now = self.now()
         for conn in reversed(self.idle.get(attempt.server, ())[:]):
             if conn.idle_since > now - SETTLE:
