--- a/corkdeal/experiment/tier.py
+++ b/corkdeal/experiment/tier.py
@@ -108,7 +108,8 @@
         self.discovery = Discovery(self.members, self.told)
         await self.discovery.start(tier.gateways)
         host = fleet.own_host()
-        peers = [fleet.free(socket.SOCK_DGRAM, host) for _ in range(tier.gateways)]
+        peers = fleet.free_ones(tier.gateways, socket.SOCK_DGRAM, host)
+        listen = fleet.free_ones(tier.gateways, socket.SOCK_STREAM, host)
         self.links = Links(peers, random.Random(chance.random()))
         self.links.heard = lambda i, j, lost: self.datagrams.append(self.clock())
         await self.links.start()
@@ -124,7 +125,7 @@
             settings["rules"]["warm_within_us"] = int(tier.cold * 1e6)
             config = {
                 "name": f"n{i}",
-                "listen": fleet.free(host=host),
+                "listen": listen[i],
                 "discovery": f"127.0.0.1:{door}",
                 "peer_listen": peers[i],
                 "peers": self.links.peers_of(i),
--- a/corkdeal/standin/fleet.py
+++ b/corkdeal/standin/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import ctypes
 import json
 import os
@@ -71,11 +72,18 @@
     }
 
 
-def free(kind: int = socket.SOCK_STREAM, host: str = "127.0.0.1") -> str:
+def free(kind: int = socket.SOCK_STREAM) -> str:
     """A free loopback address."""
-    with socket.socket(socket.AF_INET, kind) as s:
-        s.bind((host, 0))
-        return f"{host}:{s.getsockname()[1]}"
+    return free_ones(1, kind, "127.0.0.1")[0]
+
+
+def free_ones(count: int, kind: int, host: str) -> list[str]:
+    """So many free addresses of a host, no two the same: all are held until the last is drawn."""
+    with contextlib.ExitStack() as held:
+        made = [held.enter_context(socket.socket(socket.AF_INET, kind)) for _ in range(count)]
+        for s in made:
+            s.bind((host, 0))
+        return [f"{host}:{s.getsockname()[1]}" for s in made]
 
 
 def own_host() -> str:
