Tell of a clients' address that can't be had, and try again until it is free

Result: a test with a real process and a taken address: told, then served once it is free; the line was missing before.

--- a/corkdeal/logs/events.py
+++ b/corkdeal/logs/events.py
@@ -10,6 +10,7 @@
 
 EVENTS: dict[str, tuple[int, str]] = {
     "serving": (INFO, "clients are let in: name, at"),
+    "listen_failed": (ERROR, "the clients' address can't be had and is tried again: at, error"),
     "reloaded": (INFO, "configuration read again: discovery, and what waits for the next start"),
     "reload_refused": (ERROR, "the new configuration or options can't be used; the old go on: error"),
     "draining": (INFO, "a planned end began: open RPCs"),
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -66,6 +66,7 @@
         self.busy = False
         self.timers = Timers(reactor, self.now, self.due)
         self.port: Any = None
+        self.opening: Any = None  # the next try to listen
         self.begun = self.started = self.draining = self.ending = False
         self.peer_port: Any = None
         self.recovery: Recovery | None = None  # of what may be relied on after a pause, where that is on
@@ -128,16 +129,31 @@
             port.stopListening()
 
     def open(self) -> None:
-        """Let clients in; from here on PING is answered. A listening socket handed down is taken as it is."""
+        """Let clients in; from here on PING is answered. A listening socket handed down is taken as it is.
+
+        An address that another process has is tried again until it is free: it may be on its way out.
+        """
         if not self.started and not self.draining:
+            try:
+                if self.config.inherited is not None:
+                    self.port = channel.adopt(self.reactor, self.config.inherited, self)
+                else:
+                    self.port = channel.listen(self.reactor, self.config.listen, self)
+            except CannotListenError as error:
+                if not invariants.counts["listen_failed"]:
+                    logs.event("listen_failed", at=text_of(self.config.listen), error=str(error.socketError))
+                count("listen_failed")
+                self.opening = self.opening or self.reactor.callLater(SWEEP_EVERY, self.open_again)
+                return
             self.started = True
-            if self.config.inherited is not None:
-                self.port = channel.adopt(self.reactor, self.config.inherited, self)
-            else:
-                self.port = channel.listen(self.reactor, self.config.listen, self)
             logs.event("serving", name=self.config.name, at=text_of(self.config.listen),
                        inherited=self.config.inherited is not None)
 
+    def open_again(self) -> None:
+        """Try once more."""
+        self.opening = None
+        self.open()
+
     def watch_at(self, at: tuple[str, int], held: ResolverResult | None = None) -> Watch:
         """A watch of the discovery at that address; without a list held it asks for the whole one."""
         return Watch(self.reactor, at, self.settings, self.told, held, random.Random(self.config.seed))
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import signal
+import socket
 import time
 
 from corkdeal.net.resp import MOST_VALUE, WHOLE, command
@@ -320,3 +321,21 @@
     """The program as deploy/balancer.toml runs it."""
 
     build = ("-O",)
+
+
+class Taken(Program):
+    """An address that another process still has."""
+
+    def run_program(self):
+        super().run_program()
+        self.line("listen_failed")
+        self.holder.close()
+
+    def test_an_address_in_use_is_told_and_had_once_it_is_free(self):
+        self.holder = socket.create_server(("127.0.0.1", 0))
+        at = f"127.0.0.1:{self.holder.getsockname()[1]}"
+        self.start(config={"listen": at}, a={})  # waits for `serving`
+        host, port = at.split(":")
+        with socket.create_connection((host, int(port)), 20) as client:
+            client.sendall(b"*1\r\n$4\r\nPING\r\n")
+            self.assertEqual(client.recv(100), b"+PONG\r\n")
