--- a/benchmarks/bodies.py
+++ b/benchmarks/bodies.py
@@ -1,7 +1,8 @@
 """What long values cost by size, read and written: CPU, MB/s and memory, against other ways in the same run.
 
 PYTHONPATH=. python -O benchmarks/bodies.py [--tree DIR] [--out FILE]      # DIR: another revision's checkout
-PYTHONPATH=. python -O benchmarks/bodies.py --paired --tree DIR            # the usual request's CPU alone
+PYTHONPATH=. python -O benchmarks/bodies.py --paired --tree DIR            # the usual request's CPU alone;
+                                                    # --options FILE has this revision run with that
 PYTHONPATH=. python -O benchmarks/bodies.py --crowd [--out FILE]           # 200 slow clients with 4 MiB each
 
 The other ways are Twisted's port forwarder, which looks at nothing, and the revision in DIR. Compare ratios.
@@ -111,7 +112,9 @@
         pathlib.Path(out).write_text(json.dumps(results, indent=1) + "\n")
 
 
-def gateway(tree: pathlib.Path, port: int, to: int, folder: str) -> subprocess.Popen[bytes]:
+def gateway(
+    tree: pathlib.Path, port: int, to: int, folder: str, options: str = ""
+) -> subprocess.Popen[bytes]:
     """The program of a checkout, on the virtual environment that runs this."""
     path = pathlib.Path(folder, f"{port}.json")
     path.write_text(
@@ -131,7 +134,12 @@
         [sys.executable, "-O", "-m", "corkdeal.net"],
         cwd=tree,
         stdout=subprocess.DEVNULL,
-        env={**os.environ, "RELAY_CONFIG": str(path), "PYTHONPATH": str(tree)},
+        env={
+            **os.environ,
+            "RELAY_CONFIG": str(path),
+            "PYTHONPATH": str(tree),
+            "CORKDEAL_OPTIONS": options,
+        },
     )
 
 
@@ -239,10 +247,13 @@
     return results
 
 
-def paired(tree: str, folder: str, to: int) -> dict[str, Any]:
+def paired(tree: str, folder: str, to: int, options: str) -> dict[str, Any]:
     """The usual request's CPU, this revision's over the other's, in many short turns: noise meets both."""
     ways = {"this": ROOT, "before": pathlib.Path(tree).resolve()}
-    lives = {way: (port := free(), gateway(at, port, to, folder)) for way, at in ways.items()}
+    lives = {
+        way: (port := free(), gateway(at, port, to, folder, options if way == "this" else ""))
+        for way, at in ways.items()
+    }
     used: dict[str, list[float]] = {way: [] for way in ways}
     try:
         for port, _ in lives.values():
@@ -325,6 +336,7 @@
     asked.add_argument("--out")
     asked.add_argument("--crowd", action="store_true")
     asked.add_argument("--paired", action="store_true")
+    asked.add_argument("--options", help="the operators' file of this revision alone, with --paired")
     given = asked.parse_args()
     server = multiprocessing.Process(target=backend, args=(to := free(),), daemon=True)
     server.start()
@@ -333,7 +345,11 @@
         if given.crowd:
             results = crowd(folder, to)
         else:
-            results = (paired if given.paired else compare)(given.tree, folder, to)
+            results = (
+                paired(given.tree, folder, to, os.path.abspath(given.options) if given.options else "")
+                if given.paired
+                else compare(given.tree, folder, to)
+            )
     if given.crowd or given.paired:
         print(json.dumps(results, indent=1))
     keep(results, given.out)
--- a/corkdeal/brain.py
+++ b/corkdeal/brain.py
@@ -37,6 +37,7 @@
 SUBSET = 10  # servers that one of many gateways prefers: each is then seen every few seconds
 FIRST_WORK, FIRST_PACE = 0.15, 0.5  # of the aim, a class's latency; of it, added by each request in work
 LEARN = 0.05  # weight of one new outcome: about 20 answers
+LEARN_MANY = 0.15  # of one of few: where many gateways share the answers, 20 of them take 4 s
 HANG_LEAST, HANG_TIMES = 0.4, 4.0  # s, and times the usual delay, of silence with work in hand
 LOST_PART, LOST_TIMES = 0.25, 12.0  # of the aim, and times the expected delay, after which an answer is lost
 EJECT_RUN = 2  # failures more than answers, so that one failing half of the time is found too
@@ -58,6 +59,7 @@
         super().__init__(settings, seed)
         self.cold = ColdBudget(settings, self.rng)
         self.many, self.older_by = settings.gateways > NARROW, OLDER
+        self.learn_slow = LEARN_MANY if self.many else LEARN
         self.pace, self.slow, self.retries_left = FIRST_PACE, 1.0, RETRY_STORE
 
     def remember(self, known: Memory) -> None:
@@ -370,7 +372,7 @@
             self.work[key] = usual + LEARN / (1 + load) * (e.elapsed - usual)  # mostly from idle servers
             ratio = e.elapsed * self.warmth(server) / usual / max(1.0, self.pace * (1 + load))
             server.slow += LEARN * (ratio / self.slow - server.slow)
-            self.slow += LEARN * (ratio - self.slow)  # the whole fleet's: all answers, within a second
+            self.slow += self.learn_slow * (ratio - self.slow)  # the whole fleet's: all answers
             self.pace += LEARN * load / (1 + load) * (min(1.0, e.elapsed / usual / (1 + load)) - self.pace)
 
     def eject(self, server: Server) -> None:
--- a/corkdeal/cli/experiment.py
+++ b/corkdeal/cli/experiment.py
@@ -89,7 +89,15 @@
 @click.option(
     "--together", type=click.IntRange(1, 8), default=1, show_default=True, help="Runs at the same time."
 )
-def tier(schedule: str, seeds: tuple[int, ...], out: str, program: tuple[str, ...], together: int) -> None:
+@click.option("--report", type=click.Path(file_okay=False), help="Folder for a short JSON and a chart.")
+def tier(
+    schedule: str,
+    seeds: tuple[int, ...],
+    out: str,
+    program: tuple[str, ...],
+    together: int,
+    report: str | None,
+) -> None:
     """Play a schedule of faults on real gateways; exit code 1 where a rule was broken. See docs/tier.md."""
     from ..experiment import arms
     from ..options import OptionsError
@@ -100,6 +108,10 @@
         for fault in error.faults:
             click.echo(f"{schedule}: {fault}", err=True)
         raise SystemExit(2) from None
+    if report:
+        name = os.path.splitext(os.path.basename(schedule))[0]
+        arms.report(os.path.join(report, f"{name}.json"), runs)
+        arms.chart(os.path.join(report, f"{name}.svg"), runs, name)
     click.echo(arms.table(runs))
     broken = [b for run in runs if not run["arm"] for b in run["broken"]]
     for each in broken[:10]:
--- a/corkdeal/experiment/arms.py
+++ b/corkdeal/experiment/arms.py
@@ -100,6 +100,71 @@
     return "\n".join(lines)
 
 
+KEPT = (
+    "arm",
+    "seed",
+    "gateways",
+    "servers",
+    "asked",
+    "outcomes",
+    "before",
+    "back_at",
+    "full_after",
+    "full_after_fault",
+    "lost_worth",
+    "peaks",
+    "over_most",
+    "over_sum",
+    "over_bound",
+    "fallen",
+    "links",
+    "link_delay_ms",
+    "ready_s",
+    "full_said",
+    "curve",
+)
+
+
+def report(path: str, runs: list[dict[str, Any]]) -> None:
+    """What docs/reports keeps of the runs: all figures, and broken rules by their number."""
+    kept = []
+    for run in runs:
+        broken: dict[str, int] = {}
+        for each in run["broken"]:
+            broken[each["rule"]] = broken.get(each["rule"], 0) + 1
+        kept.append({**{key: run[key] for key in KEPT}, "broken": broken})
+    with open(path, "w", encoding="utf-8") as file:
+        json.dump(kept, file, separators=(",", ":"))
+        file.write("\n")
+
+
+def chart(path: str, runs: list[dict[str, Any]], title: str) -> None:
+    """Worth served in time of what was asked inside quotas: mean and range over an arm's seeds."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    matplotlib.rcParams["svg.hashsalt"] = "corkdeal"
+    from matplotlib import pyplot
+
+    figure, axis = pyplot.subplots(figsize=(8, 3.6))
+    for arm in dict.fromkeys(run["arm"] for run in runs):
+        curves = [run["curve"] for run in runs if run["arm"] == arm]
+        length = min(map(len, curves))
+        at = [0.5 + i / 2 for i in range(length)]
+        mean = [sum(c[i] for c in curves) / len(curves) for i in range(length)]
+        axis.plot(at, mean, label=arm or "here")
+        low, high = ([pick(c[i] for c in curves) for i in range(length)] for pick in (min, max))
+        axis.fill_between(at, low, high, alpha=0.2)
+    axis.set_xlabel("s")
+    axis.set_ylabel("worth served in time")
+    axis.set_ylim(0, 1)
+    axis.set_title(title, fontsize=10)
+    axis.legend(fontsize=8)
+    figure.tight_layout()
+    figure.savefig(path, metadata={"Date": None} if path.endswith("svg") else None)
+    pyplot.close(figure)
+
+
 def main() -> None:
     """One run, its results on standard output."""
     import asyncio
--- a/corkdeal/net/recovery.py
+++ b/corkdeal/net/recovery.py
@@ -11,9 +11,10 @@
 from typing import Any
 
 from .. import logs
+from ..brain import FIRST_WORK
 from ..recovery import waking
 from ..recovery.ledgers import Ledgers
-from ..recovery.opening import Opening, Usual
+from ..recovery.opening import Opening, Usual, at_start
 from ..recovery.pulse import Pulse
 from ..recovery.standing import RETRIES, Left, Standing
 from .invariants import count
@@ -30,7 +31,7 @@
 
     def __init__(self, reactor: Any, gateway: Any) -> None:
         self.reactor, self.gateway = reactor, gateway
-        self.usual = Usual()
+        self.usual, self.seen = Usual(), (0, 0)
         self.pulse, self.standing = Pulse(), Standing(gateway.now())
         self.woke_at = self.gap = self.saved_up = 0.0
         self.seeing: Any = None  # the call that ends the wait for discovery
@@ -52,12 +53,23 @@
                     for p in decisions.neighbours)
         self.usual.look(now, self.gateway.tally["backend_calls"])
         causes = decisions.causes
+        self.open_up(now, causes["inside_late"] + causes["inside_deadline"] + causes["inside_no_server"])
         left = self.standing.look(now, heard, len(decisions.neighbours), self.gateway.tally["success"],
                                   sum(n for why, n in causes.items() if why.startswith("inside")))
         if left:
             self.tell(left)
         self.reactor.callLater(LOOK_EVERY, self.look)
 
+    def open_up(self, now: float, given_up: int) -> None:
+        """Open the budget by what answers show; a start has one from the first list that names servers."""
+        d, served = self.gateway.decisions, self.gateway.tally["success"]
+        if d.opening is not None:
+            d.opening.served(served - self.seen[0], given_up - self.seen[1])
+        elif self.standing.state == "returning" and self.woke_at == 0.0 and d.servers:
+            work = FIRST_WORK * min(c.aim for c in d.s.classes)
+            d.opening = Opening(now, at_start(len(d.servers), d.s.gateways, work))
+        self.seen = served, given_up
+
     def tell(self, left: Left) -> None:
         """A state was left."""
         decisions = self.gateway.decisions
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -8,7 +8,7 @@
 from corkdeal import interface as t
 from corkdeal.recovery import waking
 from corkdeal.recovery.ledgers import Ledgers
-from corkdeal.recovery.opening import TIMES, Opening, Usual
+from corkdeal.recovery.opening import TIMES, Opening, Usual, at_start
 from corkdeal.recovery.pulse import LEAST, Pulse
 from corkdeal.recovery.standing import Standing, together
 from tests.helpers import PLAN, Ring, outcome, pick, request, servers, settings
@@ -285,3 +285,14 @@
     assert ring.slices()[0] == pytest.approx(before[0], abs=0.1)
     ring.run(2.0, BUSY)
     assert sum(ring.slices().values()) == pytest.approx(1.0, abs=1e-9)
+
+
+def test_a_start_opens_from_what_all_servers_surely_do_and_by_good_answers_only():
+    parts = [at_start(20, gateways, 0.2) * gateways for gateways in (1, 10, 200)]
+    assert parts == [pytest.approx(20 * 2 / 0.2)] * 3  # the sum over the tier, whatever its size
+    opening = Opening(100.0, 8.0)
+    first = opening.rate
+    opening.served(10, 0)
+    wider = opening.rate
+    opening.served(10, 5)  # servers are the reason why others got none
+    assert first < wider == opening.rate
