Bound a start's attempts out, not their rate, so that a fast service is not held back

Change: attempts out are bounded by max(4, 2 S / G) and one more for each good answer, so it doubles in the time of an answer.

--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -96,6 +96,8 @@
         """Begin with the list last known; clients are let in once discovery has spoken, or soon anyway."""
         self.begun = True
         known = self.config.known
+        if self.recovery is not None:
+            self.recovery.listed(len(known.entries) if known else 0)
         if known:
             self.backends.take(known, t.ListKind.CACHED)
         else:
@@ -313,6 +315,8 @@
         if reply.status is t.Status.OK and not rpc.done:
             self.tally["success"] += 1
             self.answer(rid, [reply.value])
+        if self.decisions.opening is not None:
+            self.decisions.opening.answered(reply.status is t.Status.OK)
         self.feed(t.Outcome(rid, attempt.number, attempt.server, reply.status, elapsed, rpc.done,
                             report=report))
 
@@ -340,6 +344,7 @@
         """Discovery's word."""
         if self.recovery is not None:
             self.recovery.told()
+            self.recovery.listed(len(result.entries))
         self.backends.take(result, t.ListKind.FULL if result.complete else t.ListKind.DELTA)
         self.open()
 
--- a/corkdeal/net/recovery.py
+++ b/corkdeal/net/recovery.py
@@ -11,10 +11,9 @@
 from typing import Any
 
 from .. import logs
-from ..brain import FIRST_WORK
 from ..recovery import waking
 from ..recovery.ledgers import Ledgers
-from ..recovery.opening import Opening, Usual, at_start
+from ..recovery.opening import AfterPause, AfterStart, Usual
 from ..recovery.pulse import Pulse
 from ..recovery.standing import RETRIES, Left, Standing
 from .invariants import count
@@ -31,7 +30,7 @@
 
     def __init__(self, reactor: Any, gateway: Any) -> None:
         self.reactor, self.gateway = reactor, gateway
-        self.usual, self.seen = Usual(), (0, 0)
+        self.usual = Usual()
         self.pulse, self.standing = Pulse(), Standing(gateway.now())
         self.woke_at = self.gap = self.saved_up = 0.0
         self.seeing: Any = None  # the call that ends the wait for discovery
@@ -53,23 +52,12 @@
                     for p in decisions.neighbours)
         self.usual.look(now, self.gateway.tally["backend_calls"])
         causes = decisions.causes
-        self.open_up(now, causes["inside_late"] + causes["inside_deadline"] + causes["inside_no_server"])
         left = self.standing.look(now, heard, len(decisions.neighbours), self.gateway.tally["success"],
                                   sum(n for why, n in causes.items() if why.startswith("inside")))
         if left:
             self.tell(left)
         self.reactor.callLater(LOOK_EVERY, self.look)
 
-    def open_up(self, now: float, given_up: int) -> None:
-        """Open the budget by what answers show; a start has one from the first list that names servers."""
-        d, served = self.gateway.decisions, self.gateway.tally["success"]
-        if d.opening is not None:
-            d.opening.served(served - self.seen[0], given_up - self.seen[1])
-        elif self.standing.state == "returning" and self.woke_at == 0.0 and d.servers:
-            work = FIRST_WORK * min(c.aim for c in d.s.classes)
-            d.opening = Opening(now, at_start(len(d.servers), d.s.gateways, work))
-        self.seen = served, given_up
-
     def tell(self, left: Left) -> None:
         """A state was left."""
         decisions = self.gateway.decisions
@@ -90,7 +78,7 @@
     def woken(self, now: float, gap: float) -> None:
         """It did: age what is known, and send nothing by a list that may be old."""
         count("paused")
-        self.gateway.decisions.opening = Opening(now, self.usual.rate)
+        self.gateway.decisions.opening = AfterPause(now, self.usual.rate)
         self.woke_at, self.gap = now, gap
         self.gateway.decisions.blind = self.gateway.begun
         waking.wake(self.gateway.decisions, now, gap)
@@ -104,6 +92,12 @@
                 self.seeing.cancel()
             self.seeing = self.reactor.callLater(SEE_WAIT, self.see)
 
+    def listed(self, servers: int) -> None:
+        """Servers are known: a start opens by its part of what they take."""
+        d = self.gateway.decisions
+        if d.opening is None and self.standing.state == "returning" and not self.woke_at and servers:
+            d.opening = AfterStart(servers, d.s.gateways)
+
     def told(self) -> None:
         """Discovery has spoken."""
         self.standing.listed = True
--- a/corkdeal/plumbing.py
+++ b/corkdeal/plumbing.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:  # imported where an earlier life's knowledge is used; without one it costs nothing
     from . import memory
     from .recovery.ledgers import Ledgers
-    from .recovery.opening import Opening
+    from .recovery.opening import AfterPause, AfterStart
 
 
 def later(a: int, b: int) -> bool:
@@ -44,7 +44,7 @@
         self.earlier: memory.Memory | None = None  # of an earlier life
         self.touched: set[int] | None = None  # customers met since a keeper last looked, if there is one
         self.ledgers: Ledgers | None = None  # of taking up slices after a start, where that is on
-        self.opening: Opening | None = None  # the budget of the first seconds after a pause
+        self.opening: AfterPause | AfterStart | None = None  # the budget of the first seconds
         self.blind = False  # the list may be old: nothing is sent by it
         self.part = 1.0  # of this gateway's quota that is this life's, while two of them serve
         self.born = 0  # own incarnation, ms; 0 until the first event
@@ -207,7 +207,7 @@
 
     def opens(self) -> bool:
         """Whether the budget of the first seconds, if there is one, has room for a first attempt."""
-        return self.opening is None or self.opening.allows(self.now)
+        return self.opening is None or self.opening.allows(self.now, len(self.sent))
 
     def cleared(self, peer: int) -> bool:
         """Whether that neighbour has told what it holds of an earlier life, so that notes may go to it."""
--- a/corkdeal/recovery/opening.py
+++ b/corkdeal/recovery/opening.py
@@ -1,10 +1,15 @@
-"""No stampede after a pause: what a gateway sends in the first seconds, out of one budget.
+"""No stampede after a pause or a start: what a gateway sends in its first seconds, out of one budget.
 
-What clients sent while a gateway stood still is read in one turn. Each gateway sends at most TIMES its
-own usual rate r_i, and at most TIMES x r_i x SPAN at once, so over any SPAN all that woke together send
-at most 2 x TIMES x SPAN x sum(r_i), and over longer times TIMES x sum(r_i), whatever their number and
-without asking anyone; what exceeds that is refused at once, with a time to come again. The budget ends
-with the state `full`.
+*After a pause* its usual rate r_i is known. What clients sent meanwhile is read in one turn. Each gateway
+sends at most TIMES its own usual rate, and at most TIMES x r_i x SPAN at once, so over any SPAN all that
+woke together send at most 2 x TIMES x SPAN x sum(r_i), and over longer times TIMES x sum(r_i).
+
+*After a start* it is not known, so the attempts out are bounded: at first by the gateway's part of what
+all servers surely take at once, CORES each, and OUT_LEAST. Over G gateways and S servers that is at most
+max(OUT_LEAST x G, CORES x S) together, whatever share of them started. Each good answer opens it by one,
+so it doubles in the time of an answer, be that 1 ms or 0.2 s, unless servers turn out to be full.
+
+What exceeds the budget is refused at once, with a time to come again. It ends with the state `full`.
 """
 
 from __future__ import annotations
@@ -13,7 +18,7 @@
 SPAN = 0.25  # s over which a peak is looked for
 LEAST = 4.0  # sends a second that are always open: a gateway with next to no traffic pushes nobody over
 CORES = 2.0  # of a server that count as sure, as for cold servers
-GAIN = 1.0  # sends a second more for each good answer: what is served doubles in about a second
+OUT_LEAST = 4.0  # attempts out that are always open at a start
 FEW = 0.1  # given up on for each good answer, above which servers are full
 MEMORY = 5.0  # s over which the usual rate is averaged
 
@@ -32,29 +37,15 @@
         self.at, self.count = now, count
 
 
-def at_start(servers: int, gateways: int, work: float) -> float:
-    """A gateway's part of what all servers can surely do, in sends a second; `work` is s a request."""
-    return servers * CORES / (max(1, gateways) * work)
-
-
-class Opening:
-    """The budget from a wake or a start until the gateway is in full service."""
+class AfterPause:
+    """The budget from a wake until the gateway is in full service, in sends."""
 
     def __init__(self, now: float, usual: float) -> None:
         self.rate = TIMES * max(usual, LEAST)
         self.most = max(1.0, self.rate * SPAN)
         self.at, self.left = now, self.most
 
-    def served(self, answers: int, given_up: int) -> None:
-        """What was answered well, and given up on inside quotas for want of servers, since last told.
-
-        Each good answer opens it by GAIN, as long as servers are not the reason for which others got none.
-        """
-        if given_up <= FEW * answers:
-            self.rate += GAIN * answers
-            self.most = max(1.0, self.rate * SPAN)
-
-    def allows(self, now: float) -> bool:
+    def allows(self, now: float, out: int) -> bool:
         """Whether one more may be sent now; it is booked."""
         self.left = min(self.most, self.left + self.rate * (now - self.at))
         self.at = now
@@ -62,3 +53,24 @@
             return False
         self.left -= 1.0
         return True
+
+    def answered(self, good: bool) -> None:
+        """An attempt ended; the usual rate is no more for that."""
+
+
+class AfterStart:
+    """The budget from a start until the gateway is in full service, in attempts out."""
+
+    def __init__(self, servers: int, gateways: int) -> None:
+        self.most = max(OUT_LEAST, CORES * servers / max(1, gateways))
+        self.good = self.bad = 0
+
+    def allows(self, now: float, out: int) -> bool:
+        """Whether one more may be sent while `out` are out."""
+        return out < self.most
+
+    def answered(self, good: bool) -> None:
+        """An attempt ended, well or not: each good answer opens it by one while bad ones are few."""
+        self.good, self.bad = self.good + good, self.bad + (not good)
+        if good and self.bad <= FEW * self.good + 1:
+            self.most += 1.0
