Leave saved-up retries divided between the two lives of an upgrade

Need: found by reading: among few, a start got back the retries it had held back, also where the life before had given it only its part of them, so both lives together had more than one may have. Change: where something was given by the life before, nothing is given back.

--- a/corkdeal/net/recovery.py
+++ b/corkdeal/net/recovery.py
@@ -64,7 +64,9 @@
         many = self.standing.among_many(decisions.born, decisions.peer_born)
         if left.state == "full":
             decisions.opening = None
-        if left.state == "learning" and not many:
+        succession = self.gateway.succession
+        divided = succession is not None and succession.given is not None  # with the life before: not its own
+        if left.state == "learning" and not many and not divided:
             decisions.retries_left, self.saved_up = max(decisions.retries_left, self.saved_up), 0.0
         logs.event("recovery", state=left.state, before=left.before, why=left.why,
                    among="many" if many else "few", after=round(left.after, 2))
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -1,16 +1,18 @@
 """Coming back after a pause or a start: what is old is not used, states are left for their reasons."""
 
 import random
+from types import SimpleNamespace
 
 import pytest
 
 from corkdeal import brain, memory
 from corkdeal import interface as t
+from corkdeal.net.recovery import Recovery
 from corkdeal.recovery import waking
 from corkdeal.recovery.ledgers import Ledgers
 from corkdeal.recovery.opening import TIMES, AfterPause, AfterStart, Usual
 from corkdeal.recovery.pulse import LEAST, Pulse
-from corkdeal.recovery.standing import Standing, together
+from corkdeal.recovery.standing import Left, Standing, together
 from tests.helpers import PLAN, Ring, outcome, pick, request, servers, settings
 
 
@@ -302,3 +304,15 @@
     one.opening = AfterStart(1, 1)
     acts = [one.handle(101.0, [request(n, spread=1)]) for n in range(1, 6)]
     assert [len(pick(a, t.Send)) for a in acts] == [1, 1, 1, 1, 0] and pick(acts[4], t.Refuse)
+
+
+@pytest.mark.parametrize(("given", "left"), [(None, 10.0), (object(), 1.0)])
+def test_saved_up_retries_come_back_among_few_but_not_where_they_are_divided_with_another_life(given, left):
+    one = brain.Gateway(settings(0, 3), seed=1)
+    one.born, one.peer_born = 90_000, {1: 1, 2: 1}
+    gateway = SimpleNamespace(decisions=one, pool=SimpleNamespace(), now=lambda: 100.0)
+    gateway.succession = given and SimpleNamespace(given=given)
+    recovery = Recovery(None, gateway)
+    recovery.saved_up, one.retries_left = 10.0, 1.0
+    recovery.tell(Left("learning", "returning", "list, neighbours heard", 0.1))
+    assert one.retries_left == left
