Take a later start from the peers where a wall clock was set back, and be heard again

Need: of coming back, a clock set back by a minute and a disk that fills up had no test. Change: whoever hears an earlier start than it knows says so, once in 0.25 s; the one told goes on as a start after all that is known. A server that started after this gateway's clock warms up from when it was met. The tier can set clocks of starts (clock), fill disks (folders full, by the process's own limit on file sizes) and draw greedy customers. A full disk breaks no rule; the store heals.

--- a/corkdeal/cold.py
+++ b/corkdeal/cold.py
@@ -28,7 +28,7 @@
 
     def warmth(self, server: Server, now: float) -> float:
         """Least share of its capacity that a just-started server has by now."""
-        age = max(0.0, now - server.entry.started) / self.s.warm_within
+        age = max(0.0, now - min(server.entry.started, server.met_at)) / self.s.warm_within
         return min(1.0, self.s.cold_share + (1 - self.s.cold_share) * age) if server.entry.started else 1.0
 
     def served(self, now: float, work: float, capacity: float) -> None:
--- a/corkdeal/experiment/explore.py
+++ b/corkdeal/experiment/explore.py
@@ -25,13 +25,14 @@
 TICK = 0.3  # s: more than a trade, so each tick trades
 ASKS = (3, 1, 1)  # requests of one unit a tick, by gateway: more than the even share at the first
 TRADED, QUIET = 20, 30  # ticks before the exploration and after it
+BACK = -60.0  # s by which the clock of a start may be set
 LIST = t.ServerList(t.ListKind.FULL, tuple(t.ServerEntry(n, t.ServerState.READY) for n in "abc"))
 
 
 class Step(NamedTuple):
     """One thing that may happen next."""
 
-    kind: str  # tick, crash, start, deliver, lose
+    kind: str  # tick, crash, start, start-back (with its clock set back), deliver, lose
     sender: int = 0
     to: int = 0
 
@@ -45,11 +46,12 @@
         self.flight: dict[tuple[int, int], list[bytes]] = {}
         self.let_in: list[float] = []
         self.starts = 0
+        self.clock = dict.fromkeys(range(GATEWAYS), 0.0)  # s by which each one's is set
         for me in range(GATEWAYS):
             self.start(me)
         self.starts = 0
 
-    def start(self, me: int) -> None:
+    def start(self, me: int, clock: float = 0.0) -> None:
         """A gateway starts with nothing known."""
         made = Gateway(
             t.Settings(
@@ -65,8 +67,12 @@
         )
         made.ledgers = Ledgers()
         self.starts += 1
-        self.up[me] = made
-        self.take(me, made.handle(self.now, [LIST]))
+        self.up[me], self.clock[me] = made, clock
+        self.take(me, self.tell(me, [LIST]))
+
+    def tell(self, me: int, events: list[t.Event]) -> list[t.Action]:
+        """Have a gateway decide, at the time that it takes it to be."""
+        return self.up[me].handle(self.now + self.clock[me], events)
 
     def take(self, me: int, actions: list[t.Action]) -> None:
         """Messages go under way; what is sent on is served at once."""
@@ -76,7 +82,7 @@
             elif isinstance(action, t.Send):
                 self.let_in.append(self.now)
                 served = t.Outcome(action.id, 0, action.server, t.Status.OK, 0.1, True)
-                self.take(me, self.up[me].handle(self.now, [served]))
+                self.take(me, self.tell(me, [served]))
 
     def tick(self) -> None:
         """Time passes; clients ask."""
@@ -86,12 +92,13 @@
             for _ in range(ASKS[me]):
                 self.number += 1
                 events.append(t.Request(self.number, CUSTOMER, 0, 0, 1.0, 0, GATEWAYS, 3.0))
-            self.take(me, self.up[me].handle(self.now, events))
+            self.take(me, self.tell(me, events))
 
     def options(self) -> list[Step]:
         """What may happen next. Messages of one direction come in order; another order of them is a loss."""
         made = [Step("tick")]
         made += [Step("crash" if me in self.up else "start", me) for me in range(GATEWAYS)]
+        made += [Step("start-back", me) for me in range(GATEWAYS) if me not in self.up]
         for (sender, to), waiting in sorted(self.flight.items()):
             if waiting:
                 made += [Step("deliver", sender, to), Step("lose", sender, to)]
@@ -105,13 +112,12 @@
             del self.up[step.sender]
             for pair in [p for p in self.flight if p[1] == step.sender]:
                 del self.flight[pair]
-        elif step.kind == "start":
-            self.start(step.sender)
+        elif step.kind in ("start", "start-back"):
+            self.start(step.sender, BACK if step.kind == "start-back" else 0.0)
         else:
             payload = self.flight[step.sender, step.to].pop(0)
             if step.kind == "deliver" and step.to in self.up:
-                actions = self.up[step.to].handle(self.now, [t.PeerMessage(step.sender, payload)])
-                self.take(step.to, actions)
+                self.take(step.to, self.tell(step.to, [t.PeerMessage(step.sender, payload)]))
 
     def calm(self, ticks: int) -> None:
         """No faults: all start that are down, and every message comes."""
--- a/corkdeal/experiment/schedule.py
+++ b/corkdeal/experiment/schedule.py
@@ -20,7 +20,7 @@
 from ..options.records import many, placed, setting
 
 MOST_GATEWAYS, MOST_SERVERS, MOST_SECONDS = 20, 60, 600.0
-FOLDERS = ("empty", "save", "older", "swap", "cut-short", "blocked", "freed", "hour-old")
+FOLDERS = ("empty", "save", "older", "swap", "cut-short", "blocked", "freed", "hour-old", "full")
 SERVERS = ("slow", "well", "bad", "cold", "drain", "gone")
 
 
@@ -63,6 +63,15 @@
     place: Any = placed()
 
 
+@dataclass(frozen=True, kw_only=True)
+class Clock:
+    """`clock`: the wall clock that some gateways read from their next start on, set back or ahead."""
+
+    gateways: str = who()
+    by: float = setting(least=-86_400.0, most=86_400.0)  # s
+    place: Any = placed()
+
+
 @dataclass(frozen=True, kw_only=True)
 class Door:
     """`door`: faults on the TCP connections of some gateways to some servers, or to discovery."""
@@ -96,6 +105,7 @@
     "continue": Process,
     "link": Link,
     "folders": Folders,
+    "clock": Clock,
     "door": Door,
     "servers": Servers,
 }
@@ -113,6 +123,7 @@
     go_on: tuple[Process, ...] = many(Process, "continue")
     link: tuple[Link, ...] = many(Link, "link")
     folders: tuple[Folders, ...] = many(Folders, "folders")
+    clock: tuple[Clock, ...] = many(Clock, "clock")
     door: tuple[Door, ...] = many(Door, "door")
     servers: tuple[Servers, ...] = many(Servers, "servers")
     place: Any = placed()
@@ -147,6 +158,7 @@
     gateways: int = setting(5, least=2, most=MOST_GATEWAYS)
     servers: int = setting(12, least=1, most=MOST_SERVERS)
     load: float = setting(0.7, least=0.01, most=3.0)  # of the servers' capacity, inside quotas
+    greedy: float = setting(0.1, least=0.0, most=1.0)  # part of customers far beyond their quotas
     seconds: float = setting(20.0, least=1.0, most=MOST_SECONDS)
     knowledge: bool = setting(False)  # a folder a gateway, kept over its restarts
     recovery: bool = setting(True)  # `recovery` in the operators' file, for programs that know it
--- a/corkdeal/experiment/tier.py
+++ b/corkdeal/experiment/tier.py
@@ -290,8 +290,12 @@
                 ):  # as root no folder is read-only; a file in its place takes no write
                     here.parent.mkdir(exist_ok=True)
                     here.write_text("")
+            elif step.what == "full":
+                self.gateways[i].fill_disk(True)
             elif step.what == "freed":
-                here.unlink(missing_ok=True)
+                self.gateways[i].fill_disk(False)
+                if here.is_file():
+                    here.unlink()
             elif step.what == "swap":
                 other = here.with_name(f"n{(i + 1) % len(self.gateways)}")
                 aside = here.with_name("aside")
@@ -325,6 +329,9 @@
             await self.change(what)
         elif step.kind == "folders":
             self.folders(what)
+        elif step.kind == "clock":
+            for i in self.which(what.gateways):
+                self.gateways[i].clock_by = what.by
         else:
             await self.process(step.kind, self.which(what.gateways))
 
@@ -340,7 +347,7 @@
         """Play it, end all that was started, and look at what was seen."""
         tier = self.tier
         capacity = tier.servers * CORES / WORK
-        who = clients.customers(self.chance, tier.load * capacity, tier.gateways)
+        who = clients.customers(self.chance, tier.load * capacity, tier.gateways, tier.greedy)
         asks = clients.arrivals(self.chance, who, tier.seconds, tier.gateways)
         self.customers = {c.id: c for c in who}
         try:
--- a/corkdeal/plumbing.py
+++ b/corkdeal/plumbing.py
@@ -16,6 +16,9 @@
     from .recovery.opening import AfterPause, AfterStart
 
 
+CORRECT_EVERY = 0.25  # s between words to one peer about its incarnation
+
+
 def later(a: int, b: int) -> bool:
     """Whether a start was after another; 32 bits of milliseconds begin anew every 49.7 days."""
     return 0 < (a - b) % (1 << 32) < 1 << 31
@@ -50,6 +53,7 @@
         self.born = 0  # own incarnation, ms; 0 until the first event
         self.peer_born: dict[int, int] = {}
         self.peer_heard: dict[int, float] = {}
+        self.corrected: dict[int, float] = {}  # peers last told of a later start of theirs
         self.out: list[t.Action] = []
         self.causes: Counter[str] = Counter()  # why requests were given up on, inside and beyond their quotas
         self.handlers = {
@@ -103,7 +107,7 @@
 
     def new_server(self, entry: t.ServerEntry) -> Server:
         """A server that the list names for the first time, with what an earlier life knew of it."""
-        server = Server(entry)
+        server = Server(entry, met_at=self.now)
         if self.earlier and (known := self.earlier.server(entry, self.now)):
             from . import memory
             memory.put_server(server, known, self.s.classes, self.now)
@@ -160,13 +164,18 @@
         """Hand on a neighbour's notes; anything malformed, foreign or stale is dropped."""
         if totals := peers.unpack_totals(e.payload, e.peer, self.s):
             born, notes = totals
-            for note in notes if self.meet(e.peer, born) else ():
+            if not self.meet(e.peer, born):
+                return self.correct(e.peer)
+            for note in notes:
                 self.take_totals(e.peer, born, note)
             return
         message, known = peers.unpack(e.payload, e.peer, self.s), self.peer_born.get(e.peer, 0)
-        if message is None or not self.meet(e.peer, message[0]):
+        if message is None:
             return
+        if not self.meet(e.peer, message[0]):
+            return self.correct(e.peer)
         born, mine, number, notes = message
+        self.outlive(mine)
         self.peer_heard[e.peer] = self.now
         if born != known:
             given = self.ledgers.given(self, e.peer) if self.ledgers is not None else []
@@ -193,6 +202,28 @@
                     a.edges[peer].heard = None
         return born == self.peer_born[peer]
 
+    def correct(self, peer: int) -> None:
+        """It speaks as an earlier start than is known of it: tell which, for its clock may have gone back.
+
+        What an earlier life sent may come late as well, and costs one bare message in CORRECT_EVERY.
+        """
+        if self.now - self.corrected.get(peer, -CORRECT_EVERY) >= CORRECT_EVERY:
+            self.corrected[peer] = self.now
+            self.tell(peer, [])
+
+    def outlive(self, mine: int) -> None:
+        """A peer knows a later start of this gateway: its clock was set back, and nobody would listen to it.
+
+        It goes on as one that started after all that is known, so peers are asked what they hold.
+        """
+        if mine and later(mine, self.born):  # 0: it knows of none
+            last = mine
+            for born in self.peer_born.values():
+                last = born if later(born, last) else last
+            self.born = (last + self.older_by + 1) & 0xFFFFFFFF or 1
+            self.out.append(t.Log("peers know a later start of this gateway, so its wall clock went back; "
+                                  f"it goes on as start {self.born}"))
+
     def tell(self, peer: int, notes: list[peers.Note]) -> None:
         """Both incarnations and a round, then the notes, in as many messages as they need."""
         self.round += 1
--- a/corkdeal/standin/clients.py
+++ b/corkdeal/standin/clients.py
@@ -63,8 +63,8 @@
 ]
 
 
-def customers(chance: random.Random, load: float, gateways: int) -> list[Customer]:
-    """Customers that together ask `load` units a second inside their quotas, some far more."""
+def customers(chance: random.Random, load: float, gateways: int, greedy: float = 0.1) -> list[Customer]:
+    """Customers that together ask `load` units a second inside their quotas, the part `greedy` far more."""
     made: list[Customer] = []
     for plan, share in ((0, 0.63), (1, 0.37)):
         rate, left = PLANS[plan]["quota_rate"], load * share
@@ -72,9 +72,9 @@
             kind = chance.random()
             times = (
                 chance.uniform(1.8, 4.4)
-                if kind < 0.1
+                if kind < greedy
                 else chance.uniform(0.85, 1.0)
-                if kind < 0.25
+                if kind < greedy + 0.15
                 else chance.uniform(0.16, 0.49)
             )
             spread = chance.randint(2, gateways)
--- a/corkdeal/standin/fleet.py
+++ b/corkdeal/standin/fleet.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import resource
 import signal
 import socket
 import sys
@@ -17,6 +18,12 @@
 READY_EVERY = 0.02  # s between looks whether a gateway answers PING
 READY_MOST = 20.0  # s
 PR_SET_PDEATHSIG = 1
+SHIFTED = """
+import runpy, time
+now = time.time
+time.time = lambda: now() + {by!r}
+runpy.run_module("corkdeal.net", run_name="__main__", alter_sys=True)
+"""  # the same program with its wall clock set by so many s: the machine's own clock is everybody's
 
 HALLS = ("north-hall", "east-hall", "south-hall")
 CLASSES = [
@@ -101,6 +108,12 @@
     ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
+def limit_files(pid: int, full: bool) -> None:
+    """Let no file of a process grow beyond nothing: writes fail as on a full disk, without rights for one."""
+    _, most = resource.prlimit(pid, resource.RLIMIT_FSIZE)
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (0 if full else most, most))
+
+
 class Gateway:
     """One gateway's process under one name."""
 
@@ -125,6 +138,20 @@
         self.process: asyncio.subprocess.Process | None = None
         self.ready_at = 0.0  # monotonic time since which it answers
         self.up = False
+        self.clock_by = 0.0  # s by which the wall clock is set that its next start reads
+        self.disk_full = False
+
+    def fill_disk(self, full: bool) -> None:
+        """Have no file of this process grow any more, its log and its store alike, or let them again."""
+        self.disk_full = full
+        if self.process is not None and self.process.returncode is None:
+            limit_files(self.process.pid, full)
+
+    def prepare(self) -> None:
+        """In the process just made, before the program."""
+        die_with_parent()
+        if self.disk_full:
+            limit_files(0, True)
 
     async def start(self, known: dict[str, Any] | None = None) -> float:
         """Start it; returns the seconds until it answered PING."""
@@ -134,13 +161,12 @@
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-O",
-                "-m",
-                "corkdeal.net",
+                *(("-c", SHIFTED.format(by=self.clock_by)) if self.clock_by else ("-m", "corkdeal.net")),
                 env=self.env,
                 stdout=log,
                 stderr=log,
                 cwd=self.program or pathlib.Path(__file__).parents[2],
-                preexec_fn=die_with_parent,
+                preexec_fn=self.prepare,
             )
         process = self.process
         while not await self.answers():
--- a/corkdeal/state.py
+++ b/corkdeal/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from . import interface as t
@@ -13,6 +14,7 @@
     """What a gateway knows of one server, from its list and its own attempts."""
 
     entry: t.ServerEntry
+    met_at: float = math.inf  # by this gateway's clock, which may be behind that of `entry.started`
     out: dict[int, tuple[float, float]] = field(default_factory=dict)  # request -> (sent at, load met)
     giving: dict[int, tuple[float, float]] = field(default_factory=dict)  # the same, once answered in part
     slow: float = 1.0  # its latency in terms of what the fleet takes at like load
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -10,7 +10,8 @@
 def test_slices_are_conserved_and_the_bound_is_kept_after_every_way():
     begin = explore.traded()
     ways = list(explore.walk(begin, 2))
-    assert len(ways) > 30 and {s.kind for path, _ in ways for s in path} > {"crash", "start", "lose", "tick"}
+    kinds = {s.kind for path, _ in ways for s in path}
+    assert len(ways) > 30 and kinds > {"crash", "start", "start-back", "lose"}
     assert not [f for path, world in ways for f in explore.judge(path, world)]
     _, faults, kinds = explore.at_random(3, 40, 20)
     assert not faults and min(kinds.values()) > 20
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -8,6 +8,7 @@
 from corkdeal import brain, memory
 from corkdeal import interface as t
 from corkdeal.net.recovery import Recovery
+from corkdeal.peers import pack
 from corkdeal.recovery import waking
 from corkdeal.recovery.ledgers import Ledgers
 from corkdeal.recovery.opening import TIMES, AfterPause, AfterStart, Usual
@@ -306,6 +307,64 @@
     assert [len(pick(a, t.Send)) for a in acts] == [1, 1, 1, 1, 0] and pick(acts[4], t.Refuse)
 
 
+class Behind:
+    """A gateway whose clock is a minute behind the others'."""
+
+    def __init__(self, gateway):
+        self.gateway = gateway
+
+    def __getattr__(self, name):
+        return getattr(self.gateway, name)
+
+    def handle(self, now, events):
+        return self.gateway.handle(now - 60.0, events)
+
+
+@pytest.mark.parametrize("ledgers", [Ledgers, lambda: None])
+@pytest.mark.parametrize("who", [0, 1, 2])
+def test_one_whose_clock_was_set_back_is_heard_again_and_its_slice_lent_to_nobody(who, ledgers):
+    ring = Returning()
+    ring.run(6.0, BUSY)
+    made = brain.Gateway(settings(who, 3, plans=(PLAN,)), seed=9)
+    made.ledgers = ledgers()
+    ring.gateways[who] = Behind(made)
+    ring.take(who, ring.gateways[who].handle(ring.now, [servers("a", "b", "c")]))
+    ring.run(2.0, BUSY)
+    others = [g for me, g in ring.gateways.items() if me != who]
+    assert not any(g.silent(who) for g in others) and made.born > 100_000
+    assert all(g.slice(g.accounts[7]) == g.accounts[7].base() for g in others)
+    assert sum(ring.slices().values()) == pytest.approx(1.0, abs=1e-9)
+
+
+def test_a_wide_ring_too_tells_one_whose_clock_was_set_back_and_not_more_often_than_it_must():
+    one, two = (brain.Gateway(settings(me, 20), seed=1) for me in (0, 1))
+    two.handle(100.0, [servers("a")])
+    one.peer_born[1] = two.born + 60_000
+    one.handle(100.0, [servers("a")])
+    news = pick(two.handle(101.0, [request(n, spread=20, units=6.0) for n in range(9)]), t.Tell)
+    assert news
+    late = [t.PeerMessage(1, news[0].payload)]
+    words = [pick(one.handle(at, late), t.Tell) for at in (101.0, 101.1, 101.3)]
+    assert [[w.peer for w in each if w.peer == 1] for each in words] == [[1], [], [1]]
+    said = two.handle(101.4, [t.PeerMessage(0, words[0][0].payload)])
+    assert two.born > one.peer_born[1] - 1 and pick(said, t.Log)
+
+
+@pytest.mark.parametrize("born", [1, (1 << 31) + 5, (1 << 32) - 1])
+def test_one_of_whom_a_peer_knows_nothing_stays_the_start_that_it_is(born):
+    one = brain.Gateway(settings(), seed=1)
+    one.handle(born / 1000, [servers("a")])
+    message = pack(5, 0, 1, [])[0]
+    assert not pick(one.handle(born / 1000 + 1, [t.PeerMessage(1, message)]), t.Log) and one.born == born
+
+
+def test_a_server_that_started_after_this_gateway_s_clock_warms_up_from_when_it_was_met():
+    one = brain.Gateway(settings(), seed=1)
+    one.handle(100.0, [servers("a", started=160.0)])
+    one.now = 100.0 + 0.9 * one.s.warm_within
+    assert 0.9 < one.warmth(one.servers["a"]) < 1.0
+
+
 @pytest.mark.parametrize(("given", "left"), [(None, 10.0), (object(), 1.0)])
 def test_saved_up_retries_come_back_among_few_but_not_where_they_are_divided_with_another_life(given, left):
     one = brain.Gateway(settings(0, 3), seed=1)
--- a/tests/tier/test_schedule.py
+++ b/tests/tier/test_schedule.py
@@ -29,7 +29,7 @@
     [
         ("tier gateways=21", 1, 15, "tier.gateways", "between 2 and 20"),
         ("tier\ntier", 2, 1, "tier", "second time"),
-        ("at 1.0 { explode; }", 1, 10, "at.explode", "known are continue, door"),
+        ("at 1.0 { explode; }", 1, 10, "at.explode", "known are clock, continue, door"),
         ('at 1.0 { kill "5"; }', 1, 10, "kill.gateways", "there are 5"),
         ('at 1.0 { kill "0%"; }', 1, 10, "kill.gateways", "names nobody"),
         ("at 1.0 { link loss=1.5; }", 1, 20, "at.link.loss", "between 0.0 and 1.0"),
--- a/tests/tier/test_tier.py
+++ b/tests/tier/test_tier.py
@@ -70,3 +70,16 @@
     logs = [(tmp_path / f"n{i}.log").read_text() for i in range(3)]
     assert ["stood still" in log for log in logs] == [True, True, False]
     assert made.history.attempts[-1].at > 6.5 and seen["outcomes"]["failed"] > 0
+
+
+def test_a_gateway_whose_wall_clock_went_back_says_so_and_one_whose_disk_is_full_serves_on(tmp_path):
+    made, seen = play(
+        SMALL + 'seconds=5.0 knowledge=true\nat 1.0 { kill "0,1"; clock "0" by=-60.0; }\n'
+        'at 1.2 { folders "0" what="empty"; folders "1" what="full"; }\n'
+        'at 1.3 { start "down"; }\nat 3.0 { folders "1" what="freed"; }',
+        tmp_path,
+    )
+    assert not timeless(seen) and seen["outcomes"]["served"] > 0
+    logs = [(tmp_path / f"n{i}.log").read_text() for i in range(2)]
+    assert "peers know a later start" in logs[0] and "peers know a later start" not in logs[1]
+    assert "knowledge_healed" in logs[1]
