Serve a request that is unread, or likely under way, before a channel closes on a drain

A channel just accepted, or one with bytes waiting in the kernel, was closed as idle in the turn of PUT /standby, with its request. Change: it looks for unread bytes (MSG_PEEK), and leaves one that has connected 0.25 s ago or less that time to speak; what comes is served, then the channel closes. The test fails without it.

--- a/corkdeal/net/channel.py
+++ b/corkdeal/net/channel.py
@@ -13,6 +13,7 @@
 
 from . import gather
 from .body import Body
+from .descriptors import SILENT_LEAST
 from .invariants import count, holds
 from .passage import Passage
 from .resp import Frame, Malformed, Parser
@@ -317,11 +318,28 @@
         self.transport.abortConnection()
 
     def close_when_idle(self) -> None:
-        """Close between requests: now, or after the last answer."""
+        """Close between requests: now, or after the last answer. One that is about to be read is served."""
         if not self.closing and not self.refused:
             self.closing = True
-            if not self.waiting and not self.parser.midway:
-                self.end()
+            self.close_if_idle()
+
+    def close_if_idle(self) -> None:
+        """Close, unless there is a request to answer, or who has just connected may have one under way."""
+        if self.refused or self.half_closed or self.waiting or self.parser.midway:
+            return
+        if self not in self.gateway.channels or self.transport.disconnecting:
+            return  # it was asked again and has ended meanwhile
+        if not self.spoke and (young := SILENT_LEAST - (self.gateway.now() - self.since)) > 0:
+            self.gateway.reactor.callLater(young, self.close_if_idle)
+        elif not self.unread():
+            self.end()
+
+    def unread(self) -> bool:
+        """Whether bytes have come that are still to be read: closing now would cut their request off."""
+        try:
+            return bool(self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:  # nothing there, or no connection any more
+            return False
 
     def readConnectionLost(self) -> None:
         """The client sends no more. It may still read, so what it asked for is answered first."""
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import socket
 import subprocess
 import sys
 import types
@@ -271,12 +272,37 @@
         transport.setTcpNoDelay = lambda on: None
         transport.connected, transport.producerPaused, transport.dataBuffer = True, False, b""
         transport._tempDataBuffer, transport.getHandle = [], lambda: transport
+        transport.recv = unittest.mock.Mock(side_effect=BlockingIOError)
         transport.sendmsg = lambda parts: transport.write(b"".join(parts)) or sum(map(len, parts))
         transport.loseWriteConnection = lambda: None
         transport.abortConnection = lambda: made.connectionLost()
         made.makeConnection(transport)
         return made
 
+    def test_a_request_not_read_yet_and_one_likely_under_way_keep_a_channel_from_closing(self):
+        self.clock()
+        new, asked, idle = [self.channel() for _ in range(3)]
+        for each in (asked, idle):
+            each.dataReceived(b"*1\r\n$4\r\nPING\r\n")
+            ours, theirs = socket.socketpair()
+            self.addCleanup(ours.close)
+            self.addCleanup(theirs.close)
+            each.transport.getHandle = lambda ours=ours: ours
+            if each is asked:
+                theirs.sendall(b"*1\r\n$4\r\nPING\r\n")
+        for each in (new, asked, idle):
+            each.close_when_idle()
+        self.assertEqual([c.transport.disconnecting for c in (new, asked, idle)], [False, False, True])
+        # they are read, answered and then closed
+        for each in (new, asked):
+            each.transport.getHandle = lambda each=each: each.transport
+            each.dataReceived(b"*1\r\n$4\r\nPING\r\n")
+        self.assertEqual([c.transport.disconnecting for c in (new, asked)], [True, True])
+        silent = self.channel()
+        silent.close_when_idle()
+        self.reactor.advance(descriptors_module.SILENT_LEAST + 0.01)
+        self.assertTrue(silent.transport.disconnecting)
+
     def clock(self):
         """Have the gateway go by the reactor's clock."""
         self.gateway.now = self.gateway.descriptors.now = self.reactor.seconds
