Tell who of the tier is there, and spend a slice under a lease that neighbours confirm

A neighbour that is cut off and goes on spends its slice while its heir has it on loan; a probe of two halves of six real gateways went over the stated bound three times in 30 s. Change: corkdeal/membership, decisions without I/O, node `membership` of the operators' file, off in run. Beats (version 5 of the peers' messages, 256 bytes, in place of bare greetings) carry counters of members, gossiped, and which beat of the receiver is heard and confirmed. A slice is sure for 2 s after the sending of the last beat that a ring neighbour confirmed; the heir takes it 2.5 s after its own last confirmation, only if nobody hears its owner, nobody else fell silent with it and the other neighbour grants it. One that nobody confirms keeps a quarter, which nobody takes. A planned end is told. Five decisions in virtual time, eight cuts at 0 and 12% loss: never more than the quota in use, healed in 8 s. Off: nothing of it is imported (tests/test_layout.py); module unchanged there.

--- a/corkdeal/brain.py
+++ b/corkdeal/brain.py
@@ -73,7 +73,7 @@
 
     def next_scan(self) -> float | None:
         """When to look again; never without cause, for of hundreds of gateways most are idle."""
-        if self.neighbours or self.held or self.sent or not self.s.list_pushed:
+        if self.neighbours or self.held or self.sent or self.members is not None or not self.s.list_pushed:
             return SCAN_EVERY if self.neighbours else WIDE_SCAN
         return max(SCAN_EVERY, min(self.later.values()) - self.now) if self.later else None
 
@@ -119,12 +119,15 @@
         elif a.inside and a.spread > 1:
             ring = sorted((a.first + i) % self.s.gateways for i in range(a.spread))
             after = ring[(ring.index(self.s.me) + 1) % a.spread]
-            a.heir_of = ring[ring.index(self.s.me) - 1]
+            a.heir_of, a.before = [ring[ring.index(self.s.me) - i] for i in (1, 2)]
+            a.before = a.before if a.spread > 2 else None
             a.pairs = {p: Pair() for p in sorted({a.heir_of, after})}
             self.neighbours |= a.pairs.keys()
 
     def slice(self, a: Account) -> float:
         """Traded slice and, against stranded supply, that of a silent predecessor on loan."""
+        if self.members is not None:
+            return self.members.slice(a)
         base, lost = a.base(), a.heir_of
         if self.s.may_tell_peers and lost is not None and self.silent(lost) and (
                 self.s.gateways == 2 or any(not self.silent(p) for p in self.peer_heard if p != lost)):
@@ -149,7 +152,8 @@
         share, past, a.at = self.part * (1.0 if a.wide else self.slice(a)), self.now - a.at, self.now
         if a.wide and not past:  # its level and demand are those of all members
             return share
-        a.level = min(a.plan.burst * share, a.level + a.plan.rate * share * past)
+        level = min(a.plan.burst * share, a.level + a.plan.rate * share * past)
+        a.level = level if self.members is None or self.members.sure(a) else max(a.level, level)
         a.demand *= math.exp(-past / (self.memory(a) if a.wide else DEMAND_MEMORY))
         part = 1 / a.spread if a.inside else 0.0
         a.ceiling = min(a.plan.ceiling_burst * part, a.ceiling + a.plan.ceiling_rate * part * past)
@@ -437,7 +441,7 @@
             if not awake:  # an end with nothing to tell is silent, else notes go to and fro for ever
                 del self.lively[key]
         for peer, notes in due.items():
-            self.tell(peer, notes)
+            self.greet(peer, notes)
 
     def tell_ring(self) -> None:
         """Pass on what wide rings asked and spent: upward soon, to all members only where it matters."""
--- a/corkdeal/experiment/schedule.py
+++ b/corkdeal/experiment/schedule.py
@@ -162,6 +162,7 @@
     seconds: float = setting(20.0, least=1.0, most=MOST_SECONDS)
     knowledge: bool = setting(False)  # a folder a gateway, kept over its restarts
     recovery: bool = setting(True)  # `recovery` in the operators' file, for programs that know it
+    membership: bool = setting(False)  # and `membership`
     cold: float = setting(16.0, least=0.1, most=60.0)  # s in which a new server warms up
     settled: float = setting(5.0, least=0.5, most=MOST_SECONDS)  # s from which on it counts as usual service
     place: Any = placed()
--- a/corkdeal/experiment/tier.py
+++ b/corkdeal/experiment/tier.py
@@ -114,11 +114,9 @@
         self.links.heard = lambda i, j, lost: self.datagrams.append(self.clock())
         await self.links.start()
         options = f'knowledge path="{self.folder}/state" every=1.0\n' if tier.knowledge else ""
-        if (
-            tier.recovery
-            and ((self.program or pathlib.Path(__file__).parents[2]) / "corkdeal/recovery").exists()
-        ):
-            options += "recovery\n"
+        there = (self.program or pathlib.Path(__file__).parents[2]) / "corkdeal"
+        for node, wanted in (("recovery", tier.recovery), ("membership", tier.membership)):
+            options += f"{node}\n" if wanted and (there / node).exists() else ""
         assert self.discovery.doors is not None
         for i, door in enumerate(self.discovery.doors.ports):
             settings = fleet.settings(tier.gateways, i, clients.PLANS)
--- a/corkdeal/logs/events.py
+++ b/corkdeal/logs/events.py
@@ -49,6 +49,7 @@
     "knowledge_locked": (WARN, "another process of this name keeps the folder; serving without: folder"),
     "knowledge_unlocked": (INFO, "the folder is free; writing from now on: folder"),
     "knowledge_failing": (WARN, "writing fails, service goes on: error"),
+    "membership": (INFO, "a member, or whose slices may be spent, is seen otherwise: what, then what it is"),
     "knowledge_healed": (INFO, "writing works again: after so many failures"),
     "knowledge_collect_failed": (ERROR, "a bug: what is known could not be put into records: trace"),
 }
--- /dev/null
+++ b/corkdeal/membership/table.py
@@ -0,0 +1,115 @@
+"""What is known of each member: its latest beat, by whichever way news of it came, and what that makes of it.
+
+Members' beat counters are gossiped (after Van Renesse, Minsky, Hayden: A gossip-style failure detection
+service, 1998), so whom anyone hears whose word arrives here is not taken for gone, whatever pair is cut. How
+long a silence means something goes by how often news of that member came before (as in accrual detectors).
+A process that stood still counts none of that time.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from .beats import LEFT, NEWS, Row, newer
+
+ALIVE, SUSPECT, GONE, AWAY = "alive", "suspect", "gone", "left"
+SUSPECT_LEAST, GONE_LEAST = 1.25, 2.5  # s of silence; the second over a lease's length
+SUSPECT_TIMES, GONE_TIMES = 3.0, 6.0  # usual times between news
+GAP_WEIGHT, GAP_FIRST = 0.1, 0.25  # of a new gap in the usual one, and where that begins, s
+TOGETHER = 5.0  # s; members whose silences began within that may have been cut off with one another
+
+
+@dataclass(slots=True)
+class Member:
+    """One life of a member."""
+
+    born: int
+    beat: int
+    at: float  # when the last news of it came
+    gap: float = GAP_FIRST  # usual time between news, s
+    state: str = ALIVE
+    why: str = ""
+
+
+class Change(NamedTuple):
+    """A member is seen otherwise."""
+
+    member: int
+    state: str
+    before: str
+    why: str
+
+
+class Table:
+    """All members that were ever heard of, but this one."""
+
+    def __init__(self, later: Callable[[int, int], bool]) -> None:
+        """`later` tells whether an incarnation is after another."""
+        self.later = later
+        self.members: dict[int, Member] = {}
+        self.changes: list[Change] = []
+
+    def news(self, now: float, row: Row) -> bool:
+        """Take a member's beat by whoever told it; whether it was new."""
+        m = self.members.get(row.member)
+        if m is None:
+            m = self.members[row.member] = Member(row.born, row.beat, now)
+        elif self.later(row.born, m.born):
+            m = self.members[row.member] = Member(row.born, row.beat, now, m.gap, m.state)
+            self.turn(row.member, ALIVE, "started again")
+        elif row.born != m.born or m.state == AWAY or not newer(row.beat, m.beat):
+            return False
+        else:
+            if m.state == ALIVE:  # the time that it was away is no usual gap
+                m.gap += GAP_WEIGHT * (min(now - m.at, GONE_LEAST) - m.gap)
+            m.beat, m.at = row.beat, now
+            self.turn(row.member, ALIVE, "news of it again")
+        if row.kind == LEFT:
+            self.turn(row.member, AWAY, "it said so")
+        return True
+
+    def turn(self, member: int, state: str, why: str) -> None:
+        """See a member so from now on."""
+        m = self.members[member]
+        if m.state != state:
+            self.changes.append(Change(member, state, m.state, why))
+            m.state = state
+        m.why = why
+
+    def silence(self, member: int, now: float) -> float:
+        """Seconds without news of it."""
+        m = self.members.get(member)
+        return math.inf if m is None else now - m.at
+
+    def look(self, now: float) -> None:
+        """Whom to suspect, and whom to hold for gone, by now."""
+        for number, m in self.members.items():
+            past = now - m.at
+            if m.state == ALIVE and past > max(SUSPECT_LEAST, SUSPECT_TIMES * m.gap):
+                self.turn(number, SUSPECT, f"no news for {past:.2f} s")
+            if m.state == SUSPECT and past > max(GONE_LEAST, GONE_TIMES * m.gap):
+                self.turn(number, GONE, f"no news for {past:.2f} s, usually {m.gap:.2f} s")
+
+    def alone(self, member: int, now: float) -> bool:
+        """Whether a member's silence is its own: nobody who might go on with it fell silent then."""
+        one = self.members.get(member)
+        since = now if one is None else one.at
+        return not any(m.state in (SUSPECT, GONE) and abs(m.at - since) < TOGETHER
+                       for number, m in self.members.items() if number != member)
+
+    def woke(self, gap: float, now: float) -> None:
+        """This process stood still: silence in that time says nothing, and suspicions are withdrawn."""
+        for number, m in self.members.items():
+            m.at = min(now, m.at + gap)
+            if m.state == SUSPECT:
+                self.turn(number, ALIVE, "this process stood still")
+
+    def rows(self, skip: int, most: int, chance: random.Random) -> list[Row]:
+        """What to tell a member, at random where it is more than fits: all get their turn."""
+        told = [Row(LEFT if m.state == AWAY else NEWS, number, m.born, m.beat)
+                for number, m in self.members.items() if m.state != GONE and number != skip]
+        return told if len(told) <= most else chance.sample(told, most)
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -31,6 +31,7 @@
 from .timers import Timers
 
 if TYPE_CHECKING:
+    from .membership import Membership
     from .recovery import Recovery
     from .succession import Succession
 
@@ -70,6 +71,7 @@
         self.begun = self.started = self.draining = self.ending = False
         self.peer_port: Any = None
         self.recovery: Recovery | None = None  # of what may be relied on after a pause, where that is on
+        self.membership: Membership | None = None  # who of the tier is there, where that is on
         self.succession: Succession | None = None  # of lives, where the listening socket is handed down
         self.before_end: list[Any] = []  # whose `stop(done)` is called after the last answer
         self.reported = ""
--- a/corkdeal/net/program.py
+++ b/corkdeal/net/program.py
@@ -26,6 +26,9 @@
         if options and options.recovery:  # before the store is read: neighbours are asked as well
             from .recovery import Recovery
             self.gateway.recovery = Recovery(reactor, self.gateway)
+        if options and options.membership:
+            from .membership import Membership
+            self.gateway.membership = Membership(reactor, self.gateway)
         if options and options.knowledge:
             self.keep(options).load()
 
@@ -33,6 +36,8 @@
         """Begin to serve; knowledge is in force by now."""
         if self.gateway.recovery is not None:
             self.gateway.recovery.start()
+        if self.gateway.membership is not None:
+            self.gateway.membership.start()
         if self.options and self.options.figures:
             from .figures import Figures
             Figures(self.reactor, self.gateway, self.options.figures.every).start()
--- a/corkdeal/options/records.py
+++ b/corkdeal/options/records.py
@@ -56,6 +56,11 @@
     """`recovery`: coming back after a start or a pause; it has nothing to set."""
 
 
+@dataclass(frozen=True, kw_only=True)
+class MembershipOptions:
+    """`membership`: which gateways live, and whose slices may be spent; it has nothing to set."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class FiguresOptions:
     """`figures`: running totals as a line of the log."""
@@ -108,4 +113,5 @@
     knowledge: KnowledgeOptions | None = None
     halls: HallsOptions | None = None
     recovery: RecoveryOptions | None = None
+    membership: MembershipOptions | None = None
     figures: FiguresOptions | None = None
--- a/corkdeal/plumbing.py
+++ b/corkdeal/plumbing.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:  # imported where an earlier life's knowledge is used; without one it costs nothing
     from . import memory
+    from .membership.members import Members
     from .recovery.ledgers import Ledgers
     from .recovery.opening import AfterPause, AfterStart
 
@@ -47,6 +48,7 @@
         self.earlier: memory.Memory | None = None  # of an earlier life
         self.touched: set[int] | None = None  # customers met since a keeper last looked, if there is one
         self.ledgers: Ledgers | None = None  # of taking up slices after a start, where that is on
+        self.members: Members | None = None  # who is there, and whose slices may be spent, where that is on
         self.opening: AfterPause | AfterStart | None = None  # the budget of the first seconds
         self.blind = False  # the list may be old: nothing is sent by it
         self.part = 1.0  # of this gateway's quota that is this life's, while two of them serve
@@ -138,6 +140,8 @@
             self.ticking = False
             self.recall_news()
             self.scan()
+            if self.members is not None:
+                self.members.step()
 
     def recall_news(self) -> None:
         """Bring back the news that had to wait."""
@@ -169,17 +173,12 @@
             for note in notes:
                 self.take_totals(e.peer, born, note)
             return
-        message, known = peers.unpack(e.payload, e.peer, self.s), self.peer_born.get(e.peer, 0)
-        if message is None:
+        if self.members is not None and (beat := self.members.unpack(e.payload, e.peer)) is not None:
+            return self.members.hear(e.peer, beat) if self.greeted(e.peer, beat.born, beat.yours) else None
+        message = peers.unpack(e.payload, e.peer, self.s)
+        if message is None or not self.greeted(e.peer, *message[:2]):
             return
-        if not self.meet(e.peer, message[0]):
-            return self.correct(e.peer)
         born, mine, number, notes = message
-        self.outlive(mine)
-        self.peer_heard[e.peer] = self.now
-        if born != known:
-            given = self.ledgers.given(self, e.peer) if self.ledgers is not None else []
-            self.tell(e.peer, [self.note(key, a, e.peer) for key, a in given])
         if self.ledgers is not None and mine == self.born:
             self.ledgers.told.add(e.peer)
         replies = []
@@ -190,6 +189,19 @@
         if replies:
             self.tell(e.peer, replies)
 
+    def greeted(self, peer: int, born: int, mine: int) -> bool:
+        """A peer spoke to this gateway, knowing of its start `mine`; False if by an earlier life."""
+        known = self.peer_born.get(peer, 0)
+        if not self.meet(peer, born):
+            self.correct(peer)
+            return False
+        self.outlive(mine)
+        self.peer_heard[peer] = self.now
+        if born != known:
+            given = self.ledgers.given(self, peer) if self.ledgers is not None else []
+            self.tell(peer, [self.note(key, a, peer) for key, a in given])
+        return True
+
     def meet(self, peer: int, born: int) -> bool:
         """Follow a peer's incarnation: after a restart both ends start over; False for an earlier one."""
         known = self.peer_born.get(peer)
@@ -231,6 +243,11 @@
             messages = peers.pack(self.born, self.peer_born.get(peer, 0), self.round, notes)
             self.out += [t.Tell(peer, message) for message in messages]
 
+    def greet(self, peer: int, notes: list[peers.Note]) -> None:
+        """Tell a neighbour; where there is nothing to tell and it hears this one's beats, that is enough."""
+        if notes or self.members is None or not self.members.speaks(peer):
+            self.tell(peer, notes)
+
     def tell_totals(self, due: dict[int, list[peers.Totals]]) -> None:
         """Notes of wide rings, by peer."""
         for peer, notes in due.items() if self.s.may_tell_peers else ():
--- a/corkdeal/recovery/waking.py
+++ b/corkdeal/recovery/waking.py
@@ -35,4 +35,7 @@
         server.others_at = LONG_AGO
         server.cold_left = min(server.cold_left, 0.0)
         server.cold_at = None if server.cold_at is None else now
+    if decisions.members is not None:
+        decisions.now = now
+        decisions.members.woke(gap)
     decisions.traded_at = decisions.asked_list = now
--- a/corkdeal/state.py
+++ b/corkdeal/state.py
@@ -83,6 +83,7 @@
     pairs: dict[int, Pair] = field(default_factory=dict)
     inside: bool = False  # whether this gateway is one of the customer's
     heir_of: int | None = None  # ring predecessor
+    before: int | None = None  # that one's predecessor, where it is a third
     level: float = 0.0
     ceiling: float = 0.0
     open: int = 0
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -37,6 +37,8 @@
 class Ring:
     """Gateways that pass messages on; a test may lose, repeat or delay them."""
 
+    spread = 3
+
     def __init__(self, gateways=3, plan=PLAN):
         self.plan, self.now = plan, 100.0
         self.gateways = {}
@@ -70,7 +72,7 @@
                 events = [t.TimerDue(0)]
                 if ask and ask(me):
                     self.number += 1
-                    events.append(request(self.number, units=ask(me)))
+                    events.append(request(self.number, units=ask(me), spread=self.spread))
                 actions = g.handle(self.now, events)
                 for send in pick(actions, t.Send):
                     g.handle(self.now, [outcome(send.id, 0, send.server, elapsed=0.01)])
--- /dev/null
+++ b/tests/membership/test_members.py
@@ -0,0 +1,204 @@
+"""Membership on the decisions, in virtual time: who is seen as gone, and that no slice is spent twice."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from corkdeal import brain
+from corkdeal import interface as t
+from corkdeal.membership import beats
+from corkdeal.membership.beats import ASK, GRANT, LEFT, NEWS, Beat, Row
+from corkdeal.membership.leases import KEEP, LEASE, TAKE, Leases
+from corkdeal.membership.members import BEAT_EVERY, Members
+from corkdeal.membership.table import ALIVE, AWAY, GONE, GONE_LEAST, SUSPECT, Table
+from corkdeal.plumbing import later
+from corkdeal.recovery import waking
+from corkdeal.recovery.ledgers import Ledgers
+from tests.helpers import PLAN, Ring, pick, servers, settings
+
+
+class Tier(Ring):
+    """Gateways with membership, all in one customer's ring."""
+
+    def __init__(self, gateways=3):
+        self.size = self.spread = gateways
+        super().__init__(gateways)
+
+    def start(self, me, gateways=None):
+        made = brain.Gateway(settings(me, self.size, plans=(PLAN,)), seed=me)
+        made.ledgers, made.members = Ledgers(), Members(made, later)
+        self.gateways[me] = made
+        self.take(me, made.handle(self.now, [servers("a", "b", "c")]))
+
+    def ask(self, me):
+        return 0.2
+
+    def go(self, seconds):
+        """Let time pass; the most that all together might spend of the slices at any moment."""
+        most = 0.0
+        for _ in range(round(seconds / 0.05)):
+            self.run(0.05, lambda me: 0.2)
+            most = max(most, sum(self.spent().values()))
+        return most
+
+    def spent(self):
+        return {me: g.slice(g.accounts[7]) for me, g in self.gateways.items() if 7 in g.accounts}
+
+    def cut(self, *pairs):
+        self.lost = lambda sender, to, number: (sender, to) in pairs
+
+    def seen(self, by, member):
+        return self.gateways[by].members.table.members[member].state
+
+
+def both(ones, others):
+    return [(i, j) for i in ones for j in others] + [(j, i) for i in ones for j in others]
+
+
+ALL = range(5)
+CUTS = {  # who doesn't hear whom; what remains of the quota in use after the cut has lasted
+    "pair, one way": ([(0, 1)], 0.99),
+    "pair": (both([0], [1]), 0.99),
+    "one heard by nobody": ([(0, j) for j in ALL if j], 0.9),
+    "one that hears nobody": ([(j, 0) for j in ALL if j], 0.8),
+    "one by itself": (both([0], [1, 2, 3, 4]), 0.9),
+    "two and three": (both([0, 1], [2, 3, 4]), 0.99),
+    "every other one": (both([0, 2], [1, 3, 4]), 0.5),
+    "a ring of one-way cuts": ([(0, 1), (1, 2), (2, 3), (3, 4), (4, 0)], 0.99),
+}
+
+
+@pytest.mark.parametrize("kind", CUTS)
+@pytest.mark.parametrize("loss", [0.0, 0.12])
+def test_no_part_of_the_quota_is_spent_twice_in_a_cut_or_its_healing_and_most_stays_in_use(kind, loss):
+    tier, (cut, least), chance = Tier(5), CUTS[kind], random.Random(5)
+    tier.lost = lambda *a: chance.random() < loss
+    tier.run(4.0, tier.ask)
+    tier.lost = lambda sender, to, number: (sender, to) in cut or chance.random() < loss
+    most = tier.go(14.0)
+    assert sum(tier.spent().values()) >= least - (loss > 0) * 0.25
+    tier.lost = lambda *a: chance.random() < loss
+    most = max(most, tier.go(8.0))
+    assert most <= 1.0 + 0.05  # two ends of a trade may see it a message apart
+    assert sum(tier.spent().values()) == pytest.approx(1.0, abs=0.25 if loss else 0.01)
+    assert not any(g.members.taken for g in tier.gateways.values())
+
+
+def test_a_dead_one_s_slice_is_in_use_again_and_its_own_once_it_is_back():
+    tier = Tier(5)
+    tier.run(4.0, tier.ask)
+    del tier.gateways[2]
+    tier.run(GONE_LEAST + 2 * BEAT_EVERY + 1.0, tier.ask)
+    assert sum(tier.spent().values()) == pytest.approx(1 - KEEP / 5, abs=0.02)
+    assert all(tier.seen(by, 2) == GONE for by in tier.gateways)
+    tier.start(2)
+    assert tier.go(2.0) <= 1.02 and all(tier.seen(by, 2) == ALIVE for by in (0, 1, 3, 4))
+    assert sum(tier.spent().values()) == pytest.approx(1.0, abs=0.01)
+
+
+def test_one_that_leaves_is_not_waited_for_and_does_not_rise():
+    tier = Tier(5)
+    tier.run(4.0, tier.ask)
+    gone = tier.gateways.pop(2)
+    gone.out = []
+    gone.members.leave()
+    tier.take(2, gone.out)
+    tier.run(2 * BEAT_EVERY + 0.1, tier.ask)
+    assert all(tier.seen(by, 2) == AWAY for by in tier.gateways)
+    assert sum(tier.spent().values()) == pytest.approx(1 - KEEP / 5, abs=0.02)
+    late = Row(NEWS, 2, gone.born, beats.following(gone.members.number))
+    assert not tier.gateways[0].members.table.news(tier.now, late) and tier.seen(0, 2) == AWAY
+
+
+def test_four_of_five_dead_leave_the_fifth_its_kept_part_and_two_in_company_their_own():
+    tier = Tier(5)
+    tier.run(4.0, tier.ask)
+    for me in (1, 2, 3, 4):
+        del tier.gateways[me]
+    tier.run(4.0, tier.ask)
+    assert tier.spent()[0] == pytest.approx(KEEP / 5, abs=0.01)
+    tier.start(2)  # no ring neighbour of 0's
+    tier.run(7.0, tier.ask)
+    assert tier.spent()[0] == pytest.approx(1 / 5, abs=0.01)
+
+
+@pytest.mark.parametrize("pause", [0.8, 2.2, 6.0])
+def test_an_observer_that_stood_still_accuses_nobody_and_spends_nothing_on_an_old_lease(pause):
+    tier = Tier(5)
+    tier.run(4.0, tier.ask)
+    still = tier.gateways.pop(0)
+    most = tier.go(pause)
+    tier.flight = [m for m in tier.flight if m[2]]
+    waking.wake(still, tier.now, pause)
+    assert pause < LEASE or still.slice(still.accounts[7]) == pytest.approx(KEEP / 5, abs=0.01)
+    tier.gateways[0] = still
+    still.members.step()
+    assert {m.state for m in still.members.table.members.values()} == {ALIVE}
+    assert max(most, tier.go(3.0)) <= 1.02
+    assert sum(tier.spent().values()) == pytest.approx(1.0, abs=0.01)
+
+
+def test_a_program_before_this_is_heard_as_it_was_and_nothing_of_it_is_taken():
+    tier = Tier(3)
+    tier.gateways[1].members = None
+    tier.run(4.0, tier.ask)
+    assert sum(tier.spent().values()) == pytest.approx(1.0, abs=0.01)
+    del tier.gateways[1]
+    tier.run(6.0, tier.ask)
+    assert not tier.gateways[2].members.taken
+
+
+def test_silences_go_by_how_often_news_came_and_one_silence_among_several_is_not_its_own():
+    table = Table(later)
+    for beat in range(1, 41):
+        for member in (1, 2):
+            table.news(beat * member / 2, Row(NEWS, member, 9, beat))
+    for member, after, state in ((1, 1.6, SUSPECT), (2, 2.0, ALIVE), (1, 3.2, GONE), (2, 3.2, SUSPECT)):
+        table.look(table.members[member].at + after)  # one was heard twice a second, two once
+        assert table.members[member].state == state
+    assert table.alone(1, 44.0)  # the other fell silent 20 s after it
+    table.members[2].at = table.members[1].at + 4.0
+    assert not table.alone(1, 44.0) and not table.alone(2, 44.0)
+    table.news(51.0, Row(LEFT, 2, 9, 41))
+    assert not table.news(52.0, Row(NEWS, 2, 9, 42)) and table.news(52.0, Row(NEWS, 2, 10, 1))
+
+
+def test_a_lease_counts_from_when_the_beat_was_sent_and_a_grant_keeps_from_confirming():
+    owner, taker, other = Leases(), Leases(), Leases()
+    for each in (owner, taker, other):
+        each.beat(100.0, 1)
+    other.confirm(0, 1, 100.2)
+    assert owner.renewed(2, 1) == 100.0 + LEASE and owner.renewed(2, 7) is None
+    assert not other.grant(0, 100.2 + TAKE - 0.01) and other.grant(0, 100.2 + TAKE)
+    other.heard_by[0] = 1e9  # it hears this one well
+    assert not other.may_ack(0, 100.2 + 2 * TAKE - 0.01) and other.may_ack(0, 100.2 + 2 * TAKE)
+    taker.beat(103.0, 2)
+    taker.granted(1, 0, 2)
+    assert taker.grants[1, 0] == 103.0 + LEASE
+
+
+starts, numbers = st.integers(1, 2**32 - 1), st.integers(1, 65535)
+rows = st.builds(Row, st.integers(NEWS, GRANT), st.integers(0, 4), starts, numbers)
+words = st.builds(Beat, starts, st.just(0) | starts, numbers, st.just(0) | numbers, st.just(0) | numbers,
+                  st.integers(0, 3), st.lists(rows, max_size=beats.ROWS).map(tuple))
+
+
+@given(words)
+def test_a_beat_comes_over_as_it_was_packed_within_a_datagram(beat):
+    payload = beats.pack(beat)
+    assert len(payload) <= 256 and beats.unpack(payload, 1, settings(0, 5)) == beat
+
+
+@given(st.binary(max_size=300), words)
+def test_whatever_comes_costs_one_message_at_most(noise, beat):
+    one = brain.Gateway(settings(0, 5), seed=1)
+    one.members = Members(one, later)
+    one.handle(100.0, [servers("a")])
+    for payload in (noise, b"\x05" + noise, beats.pack(beat) + noise[:1]):
+        one.handle(101.0, [t.PeerMessage(1, payload)])
+    out = one.handle(101.5, [t.PeerMessage(1, beats.pack(beat))])
+    assert len(pick(out, t.Tell)) <= 2
+    told = [b for m in pick(out, t.Tell) if (b := beats.unpack(m.payload, 2, one.s))]
+    assert ASK not in {r.kind for b in told for r in b.rows}
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -13,7 +13,7 @@
     "peers": {"interface"},
     "cold": {"interface", "state"},
     "memory": {"interface", "state"},
-    "plumbing": {"interface", "memory", "peers", "state", "recovery"},
+    "plumbing": {"interface", "memory", "peers", "state", "recovery", "membership"},
     "brain": DECIDING - {"brain", "early", "succession"},
     "early": {"interface", "brain"},
     "succession": {"interface", "memory", "brain"},
@@ -24,11 +24,13 @@
     "drill": {"wire", "brain"},
     "logs": set(),
     "recovery": DECIDING,
+    "membership": DECIDING,
     "options": {"halls"},
     "knowledge": DECIDING | {"logs", "options"},
     "standin": DECIDING | {"wire", "options", "logs", "net"},
-    "net": DECIDING | {"wire", "logs", "options", "knowledge", "recovery"},
-    "experiment": DECIDING | {"recovery", "halls", "wire", "options", "knowledge", "standin", "net", "logs"},
+    "net": DECIDING | {"wire", "logs", "options", "knowledge", "recovery", "membership"},
+    "experiment": DECIDING | {"recovery", "membership", "halls", "wire", "options", "knowledge", "standin"}
+    | {"net", "logs"},
     "cli": {"halls", "options", "knowledge", "net", "experiment", "standin", "logs"},
     "__main__": {"cli"},
     "__init__": {"brain"},
@@ -63,7 +65,8 @@
             inner = len(parts) > 1 and parts[0] == "corkdeal" and parts[1]
             if inner and inner not in MAY[home] | {home, "__version__", "Gateway"}:
                 wrong.append(f"{path.relative_to(ROOT)} imports {name}")
-            pure = home in PURE or home == "recovery" or home == "knowledge" and path.stem in KNOWLEDGE_PURE
+            pure = home in PURE or home in ("recovery", "membership")
+            pure = pure or home == "knowledge" and path.stem in KNOWLEDGE_PURE
             if pure and parts[0] in DOING:
                 wrong.append(f"{path.relative_to(ROOT)} decides and imports {name}")
     assert not wrong
@@ -76,7 +79,7 @@
         "from corkdeal.net.__main__ import main; main()\n"
         "from twisted.internet import reactor\n"
         "bad = {'structlog', 'msgspec', 'zstandard', 'blake3', 'kdl', 'click', 'numpy'} & set(sys.modules)\n"
-        "off = ('knowledge', 'memory', 'options', 'cli', 'halls', 'recovery')\n"
+        "off = ('knowledge', 'memory', 'options', 'cli', 'halls', 'recovery', 'membership')\n"
         "off = tuple('corkdeal.' + p for p in off)\n"
         "sys.exit(', '.join(bad | {m for m in sys.modules if m.startswith(off)}) or 0)"
     )
