See deaths by how news of a member varies, and play every order of cuts and pauses on the leases

Need: with fixed multiples of the usual time between news, pauses under 2 s were held for deaths (8 to 35 times in 3.3 member-hours at 12 and 30% loss, 20 gateways in virtual time), or deaths took 4.7 s to be known. Change: a silence means a death after a pause of 2 s, the usual time between news and four of its deviations; beats go out four times a second where the ring neighbours are few, at most 24 a second; a gateway that woke beats at once. corkdeal experiment members measures this, and plays orders of one-way and two-way cuts, deaf and unheard ones and pauses, asking in each step whether an owner and its heir may spend more than one slice.

--- a/corkdeal/cli/experiment.py
+++ b/corkdeal/cli/experiment.py
@@ -133,6 +133,25 @@
     raise SystemExit(1 if made["faults"] else 0)
 
 
+@command.command("members")
+@click.option("--size", "sizes", type=click.IntRange(3, 1000), multiple=True, default=(3, 10, 20),
+              show_default=True, help="Gateways; several times.")
+@click.option("--hours", type=click.FloatRange(0.01, 1000), default=100.0, show_default=True,
+              help="Member-hours for each row of false alarms.")
+@click.option("--explore", "depth", type=click.IntRange(0, 5), default=0, show_default=True,
+              help="Instead, play all orders of so many cuts and pauses.")
+@click.option("--together", type=click.IntRange(1, 16), default=4, show_default=True, help="Processes.")
+def members(sizes: tuple[int, ...], hours: float, depth: int, together: int) -> None:
+    """How soon and how rightly deaths are seen, in virtual time; or whether a slice is ever spent twice."""
+    from ..experiment import members as experiment
+
+    if not depth:
+        return click.echo(json.dumps(experiment.measure(list(sizes), hours, together), indent=1))
+    made = [experiment.explore(n, depth, together) for n in sizes]
+    click.echo(json.dumps(made, indent=1))
+    raise SystemExit(1 if any(one["faults"] for one in made) else 0)
+
+
 @command.command("fleet")
 @click.argument("folder", type=click.Path(exists=True, file_okay=False))
 @click.option(
--- a/corkdeal/membership/members.py
+++ b/corkdeal/membership/members.py
@@ -21,9 +21,10 @@
     from ..brain import Gateway
     from ..state import Account
 
-BEAT_EVERY = 0.5  # s; four beats a lease, so that three may be lost
+BEAT_EVERY, BEAT_MOST = 0.25, 0.7  # s between turns of beats; with the second a lease still bears two lost
+BEATS = 24.0  # a second at the most, under half of what a peer takes in
 ANYBODY = 2  # beats a turn to members drawn by chance, whatever the tier's size
-MOST_PARTNERS = 14  # ring neighbours told each turn: 28 beats a second, under half of what a peer takes in
+MOST_PARTNERS = 14  # ring neighbours told each turn
 FIRST_BEATS = 10.0  # a second of the clock, more than are sent
 REPLY_EVERY = 0.25  # s between replies to one member
 
@@ -34,7 +35,7 @@
     def __init__(self, decisions: Gateway, later: Callable[[int, int], bool]) -> None:
         self.d, self.me = decisions, decisions.s.me
         self.table, self.leases = Table(later), Leases()
-        self.number, self.beaten, self.left = 0, -math.inf, False
+        self.number, self.beaten, self.every, self.left = 0, -math.inf, BEAT_EVERY, False
         self.trusts = False  # another life of this gateway holds the leases, and gave this one its part
         self.chance = random.Random(decisions.rng.random())
         self.heard: dict[int, int] = {}  # by member: its last beat that came from itself
@@ -107,13 +108,14 @@
         """Look at everybody; beat if it is time, and at once to a neighbour that is new."""
         now, due = self.d.now, set()
         self.table.look(now)
-        if now - self.beaten >= BEAT_EVERY - 0.025:
+        if now - self.beaten >= self.every - 0.025:
             self.beaten = now
             self.take()
             self.look_at_slices()
             near = sorted(self.d.neighbours)
             near = near if len(near) <= MOST_PARTNERS else self.chance.sample(near, MOST_PARTNERS)
             due = {*self.anybody(), *near, *self.company()}
+            self.every = min(BEAT_MOST, max(BEAT_EVERY, len(due) / BEATS))
         due |= self.d.neighbours - self.met
         self.met |= self.d.neighbours
         if due and not self.left:
@@ -213,6 +215,7 @@
         for member in list(self.leases.heard_by):
             self.leases.heard_by[member] += gap
         self.taken.clear()
+        self.beaten = -math.inf  # all are told at once that it is there
 
     # Slices
 
--- a/corkdeal/membership/table.py
+++ b/corkdeal/membership/table.py
@@ -17,8 +17,10 @@
 from .beats import LEFT, NEWS, Row, newer
 
 ALIVE, SUSPECT, GONE, AWAY = "alive", "suspect", "gone", "left"
-SUSPECT_LEAST, GONE_LEAST = 1.25, 2.5  # s of silence; the second over a lease's length
-SUSPECT_TIMES, GONE_TIMES = 3.0, 6.0  # usual times between news
+PAUSE = 2.0  # s that a member may stand still without being held for gone
+GONE_LEAST = 2.5  # s of silence; over a lease's length
+GONE_DEVIATIONS = 4.0  # usual deviations of the time between news, beside that time and a pause
+SUSPECT_PART = 0.5  # of the silence for which it would be held for gone
 GAP_WEIGHT, GAP_FIRST = 0.1, 0.25  # of a new gap in the usual one, and where that begins, s
 TOGETHER = 5.0  # s; members whose silences began within that may have been cut off with one another
 
@@ -31,6 +33,7 @@
     beat: int
     at: float  # when the last news of it came
     gap: float = GAP_FIRST  # usual time between news, s
+    deviation: float = GAP_FIRST / 2  # of that time, usually
     state: str = ALIVE
     why: str = ""
 
@@ -59,13 +62,15 @@
         if m is None:
             m = self.members[row.member] = Member(row.born, row.beat, now)
         elif self.later(row.born, m.born):
-            m = self.members[row.member] = Member(row.born, row.beat, now, m.gap, m.state)
+            m = self.members[row.member] = Member(row.born, row.beat, now, m.gap, m.deviation, m.state)
             self.turn(row.member, ALIVE, "started again")
         elif row.born != m.born or m.state == AWAY or not newer(row.beat, m.beat):
             return False
         else:
             if m.state == ALIVE:  # the time that it was away is no usual gap
-                m.gap += GAP_WEIGHT * (min(now - m.at, GONE_LEAST) - m.gap)
+                off = min(now - m.at, GONE_LEAST) - m.gap
+                m.gap += GAP_WEIGHT * off
+                m.deviation += GAP_WEIGHT * (abs(off) - m.deviation)
             m.beat, m.at = row.beat, now
             self.turn(row.member, ALIVE, "news of it again")
         if row.kind == LEFT:
@@ -88,10 +93,10 @@
     def look(self, now: float) -> None:
         """Whom to suspect, and whom to hold for gone, by now."""
         for number, m in self.members.items():
-            past = now - m.at
-            if m.state == ALIVE and past > max(SUSPECT_LEAST, SUSPECT_TIMES * m.gap):
+            past, most = now - m.at, max(GONE_LEAST, PAUSE + m.gap + GONE_DEVIATIONS * m.deviation)
+            if m.state == ALIVE and past > SUSPECT_PART * most:
                 self.turn(number, SUSPECT, f"no news for {past:.2f} s")
-            if m.state == SUSPECT and past > max(GONE_LEAST, GONE_TIMES * m.gap):
+            if m.state == SUSPECT and past > most:
                 self.turn(number, GONE, f"no news for {past:.2f} s, usually {m.gap:.2f} s")
 
     def alone(self, member: int, now: float) -> bool:
--- a/tests/tier/test_tier.py
+++ b/tests/tier/test_tier.py
@@ -83,3 +83,17 @@
     logs = [(tmp_path / f"n{i}.log").read_text() for i in range(2)]
     assert "peers know a later start" in logs[0] and "peers know a later start" not in logs[1]
     assert "knowledge_healed" in logs[1]
+
+
+def test_a_gateway_that_no_other_hears_loses_its_slices_and_one_that_ends_has_left(tmp_path):
+    made, seen = play(
+        SMALL.replace("gateways=3", "gateways=4") + 'membership=true seconds=12.0\n'
+        'at 1.0 { link sender="0" to="all" cut=true both=true seconds=8.0; }\nat 10.0 { term "2"; }',
+        tmp_path,
+    )
+    assert not timeless(seen)
+    logs = [(tmp_path / f"n{i}.log").read_text() for i in range(4)]
+    assert "what=slices_unsure" in logs[0] and "what=slices_sure" in logs[0]
+    assert all("member=0 state=gone" in log for log in logs[1:])
+    assert any("what=slices_taken member=0" in log for log in logs[1:])
+    assert any("member=2 state=left" in log for log in (logs[1], logs[3]))
