--- /dev/null
+++ b/benchmarks/members.py
@@ -0,0 +1,67 @@
+"""What membership costs a request in the decisions, paired with the same decisions without it, in one run.
+
+PYTHONPATH=. python -O benchmarks/members.py [--out FILE]
+
+A gateway of a ring of three with fresh leases decides on requests and answers; no sockets. Compare ratios.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import pathlib
+import statistics
+import time
+
+from corkdeal import interface as t
+from corkdeal.experiment.members import World
+
+PAIRS, REQUESTS = 30, 3000
+
+
+def cost(world: World) -> float:
+    """CPU seconds of one gateway for so many requests, with its leases fresh."""
+    world.run(1.0)
+    one = world.up[0]
+    began = time.process_time()
+    for _ in range(REQUESTS):
+        world.number += 1
+        actions = one.handle(world.now, [t.Request(world.number, 7, 0, 0, 0.001, 0, 3, 3.0)])
+        for a in actions:
+            if isinstance(a, t.Send):
+                one.handle(world.now, [t.Outcome(a.id, 0, a.server, t.Status.OK, 0.1, True)])
+    return time.process_time() - began
+
+
+def world(with_members: bool) -> World:
+    """Three gateways in one ring."""
+    made = World(3, 3, 1)
+    for g in made.up.values():
+        g.members = g.members if with_members else None
+    for me in made.up:
+        made.ask(me, 0)
+    made.run(5.0)
+    return made
+
+
+def main() -> None:
+    """Play the pairs in turn."""
+    asked = argparse.ArgumentParser(description=__doc__)
+    asked.add_argument("--out")
+    given = asked.parse_args()
+    on, off = world(True), world(False)
+    ratios = []
+    for pair in range(PAIRS):
+        first, second = (on, off) if pair % 2 else (off, on)
+        spent = {id(first): cost(first), id(second): cost(second)}
+        ratios.append(spent[id(on)] / spent[id(off)])
+    low, _, high = statistics.quantiles(ratios, n=4)
+    seen = {"pairs": PAIRS, "requests": REQUESTS, "on_to_off": round(statistics.median(ratios), 3),
+            "quartiles": [round(low, 3), round(high, 3)]}
+    if given.out:
+        pathlib.Path(given.out).write_text(json.dumps(seen, indent=1) + "\n")
+    print(json.dumps(seen))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/membership/test_members.py
+++ b/tests/membership/test_members.py
@@ -1,6 +1,7 @@
 """Membership on the decisions, in virtual time: who is seen as gone, and that no slice is spent twice."""
 
 import random
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given
@@ -13,6 +14,7 @@
 from corkdeal.membership.leases import KEEP, LEASE, TAKE, Leases
 from corkdeal.membership.members import BEAT_MOST, Members
 from corkdeal.membership.table import ALIVE, AWAY, GONE, GONE_LEAST, SUSPECT, Table
+from corkdeal.net.membership import Membership
 from corkdeal.plumbing import later
 from corkdeal.recovery import waking
 from corkdeal.recovery.ledgers import Ledgers
@@ -219,3 +221,35 @@
     assert len(pick(out, t.Tell)) <= 2
     told = [b for m in pick(out, t.Tell) if (b := beats.unpack(m.payload, 2, one.s))]
     assert ASK not in {r.kind for b in told for r in b.rows}
+
+
+class Loop:
+    """A reactor that calls nothing."""
+
+    def callLater(self, seconds, what):
+        pass
+
+
+@pytest.mark.parametrize(
+    ("succession", "trusts", "leaves"),
+    [
+        (None, False, True),
+        (SimpleNamespace(waits=True, done=False), True, True),
+        (SimpleNamespace(waits=False, done=True), False, False),  # handed on: its slices are the next life's
+    ],
+)
+def test_beside_another_life_the_leases_are_that_one_s_and_who_handed_on_does_not_leave(
+    succession, trusts, leaves
+):
+    tier = Tier(3)
+    tier.run(2.0, tier.ask)
+    one, told, ended = tier.gateways[0], [], []
+    gateway = SimpleNamespace(decisions=one, succession=succession, before_end=[], now=lambda: tier.now)
+    gateway.tell = told.append
+    membership = Membership(Loop(), gateway)
+    membership.start()
+    assert one.members.trusts is trusts and gateway.before_end == [membership]
+    assert not trusts or one.members.part(one.accounts[7]) == 1.0
+    membership.stop(lambda: ended.append(True))
+    flags = {beats.unpack(a.payload, 0, settings(1, 3)).flags & beats.LEAVING for a in told}
+    assert ended and flags == ({beats.LEAVING} if leaves else set())
