Lease slices only in tiers of which a message tells all, and hold silences in larger ones for longer

Need: with 200 gateways news of a member comes by chance, each message telling of 26; silences were wrongly held for deaths 41,514 times in 20 s of virtual time (200 observers of 200 members), and the proof of what company knows needs whole news. Change: up to 27 gateways as before; above, a death is a silence of 20 usual times between news beside a pause, and no slice is taken, so each goes on with its own. The usual time is no longer capped and begins by the tier's size; members are looked through five times a second.

--- a/corkdeal/membership/members.py
+++ b/corkdeal/membership/members.py
@@ -15,7 +15,7 @@
 from . import beats
 from .beats import ASK, GRANT, LEAVING, LEFT, NEWS, PROMPT, Beat, Row
 from .leases import ASK_EVERY, KEEP, LEASE, TAKE, Leases
-from .table import AWAY, GONE, SUSPECT, Table
+from .table import AWAY, GONE, SUSPECT, WHOLE, Table
 
 if TYPE_CHECKING:
     from ..brain import Gateway
@@ -23,6 +23,7 @@
 
 BEAT_EVERY, BEAT_MOST = 0.25, 0.6  # s between turns of beats; with the second a lease still bears two lost
 BEATS = 12.0  # a second, as far as BEAT_MOST allows: with the trades under what a peer takes in
+LOOK_EVERY = 0.2  # s between looks through all members: with a thousand that is work
 ANYBODY = 2  # beats a turn to members drawn by chance, whatever the tier's size
 MOST_PARTNERS = 14  # ring neighbours told each turn
 FIRST_BEATS = 10.0  # a second of the clock, more than are sent
@@ -34,8 +35,10 @@
 
     def __init__(self, decisions: Gateway, later: Callable[[int, int], bool]) -> None:
         self.d, self.me = decisions, decisions.s.me
-        self.table, self.leases = Table(later), Leases()
+        self.table, self.leases = Table(later, decisions.s.gateways), Leases()
+        self.leased = 2 < decisions.s.gateways <= WHOLE  # else all go on with their own
         self.number, self.beaten, self.every, self.left = 0, -math.inf, BEAT_EVERY, False
+        self.looked = -math.inf
         self.trusts = False  # another life of this gateway holds the leases, and gave this one its part
         self.chance = random.Random(decisions.rng.random())
         self.heard: dict[int, int] = {}  # by member: its last beat that came from itself
@@ -71,13 +74,13 @@
         for p in a.pairs:
             if now < until.get(p, 0.0):
                 return True
-        return not a.pairs or self.trusts or self.old(a) or (
+        return not (a.pairs and self.leased) or self.trusts or self.old(a) or (
             any(now < u for u in until.values())
             and all(self.table.silence(p, now) > TAKE + LEASE or self.gone(p) for p in a.pairs))
 
     def old(self, a: Account) -> bool:
         """Whether a neighbour speaks, but not of this: a program before it, which takes after a second."""
-        return self.d.s.gateways == 2 or any(
+        return any(
             p not in self.table.members and p in self.d.peer_born and not self.d.silent(p) for p in a.pairs)
 
     def lends(self, a: Account, member: int) -> float:
@@ -107,7 +110,9 @@
     def step(self) -> None:
         """Look at everybody; beat if it is time, and at once to a neighbour that is new."""
         now, due = self.d.now, set()
-        self.table.look(now)
+        if now - self.looked >= LOOK_EVERY:
+            self.looked = now
+            self.table.look(now)
         if now - self.beaten >= self.every - 0.025:
             self.beaten = now
             self.take()
@@ -243,7 +248,7 @@
     def free(self, member: int) -> bool:
         """Whether its slices may be spent here: it left, or it alone is silent or deaf, and not sure."""
         m, now = self.table.members.get(member), self.d.now
-        if m is None or self.d.s.gateways == 2:
+        if m is None or not self.leased:
             return False
         if m.itself:
             return True
--- a/corkdeal/membership/table.py
+++ b/corkdeal/membership/table.py
@@ -14,14 +14,17 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from .beats import LEFT, NEWS, WRAP, Row, newer
+from .beats import LEFT, NEWS, ROWS, WRAP, Row, newer
 
 ALIVE, SUSPECT, GONE, AWAY = "alive", "suspect", "gone", "left"
 PAUSE = 2.0  # s that a member may stand still without being held for gone
 GONE_LEAST = 2.5  # s of silence; over a lease's length
 GONE_DEVIATIONS = 4.0  # usual deviations of the time between news, beside that time and a pause
+GONE_TIMES = 20.0  # usual times between news, where these come by chance: e^-20 for each
 SUSPECT_PART = 0.5  # of the silence for which it would be held for gone
 GAP_WEIGHT, GAP_FIRST = 0.1, 0.25  # of a new gap in the usual one, and where that begins, s
+GAP_MEMBER = 0.01  # s that each member adds to it where a message can't tell of all
+WHOLE = ROWS + 1  # members of a tier of which each message tells all there is
 TOGETHER = 5.0  # s; members whose silences began within that may have been cut off with one another
 
 
@@ -32,8 +35,8 @@
     born: int
     beat: int
     at: float  # when the last news of it came
-    gap: float = GAP_FIRST  # usual time between news, s
-    deviation: float = GAP_FIRST / 2  # of that time, usually
+    gap: float  # usual time between news, s
+    deviation: float  # of that time, usually
     state: str = ALIVE
     itself: bool = False  # whether it said so itself that it left; others may be wrong
     why: str = ""
@@ -51,9 +54,10 @@
 class Table:
     """All members that were ever heard of, but this one."""
 
-    def __init__(self, later: Callable[[int, int], bool]) -> None:
-        """`later` tells whether an incarnation is after another."""
-        self.later = later
+    def __init__(self, later: Callable[[int, int], bool], size: int) -> None:
+        """`later` tells whether an incarnation is after another; `size` is the tier's."""
+        self.later, self.size = later, size
+        self.first_gap = GAP_FIRST if size <= WHOLE else max(GAP_FIRST, GAP_MEMBER * size)
         self.members: dict[int, Member] = {}
         self.changes: list[Change] = []
 
@@ -71,7 +75,7 @@
         """Take a member's beat by whoever told it; whether it was new."""
         m = self.members.get(row.member)
         if m is None:
-            m = self.members[row.member] = Member(row.born, row.beat, now)
+            m = self.members[row.member] = Member(row.born, row.beat, now, self.first_gap, self.first_gap / 2)
         elif self.later(row.born, m.born):
             m = self.members[row.member] = Member(row.born, row.beat, now, m.gap, m.deviation, m.state)
             self.turn(row.member, ALIVE, "started again")
@@ -79,7 +83,7 @@
             return False
         else:
             if m.state == ALIVE:  # the time that it was away is no usual gap
-                off = min(now - m.at, GONE_LEAST) - m.gap
+                off = now - m.at - m.gap
                 m.gap += GAP_WEIGHT * off
                 m.deviation += GAP_WEIGHT * (abs(off) - m.deviation)
             m.beat, m.at = row.beat, now
@@ -104,7 +108,8 @@
     def look(self, now: float) -> None:
         """Whom to suspect, and whom to hold for gone, by now."""
         for number, m in self.members.items():
-            past, most = now - m.at, max(GONE_LEAST, PAUSE + m.gap + GONE_DEVIATIONS * m.deviation)
+            past, most = now - m.at, PAUSE + m.gap + GONE_DEVIATIONS * m.deviation
+            most = max(GONE_LEAST, most if self.size <= WHOLE else PAUSE + GONE_TIMES * m.gap)
             if m.state == ALIVE and past > SUSPECT_PART * most:
                 self.turn(number, SUSPECT, f"no news for {past:.2f} s")
             if m.state == SUSPECT and past > most:
