Let an old life of two gateways go on deciding after it gave its ledgers to the next one

Need: found by reading for what membership relies on, and shown by a probe: an upgrade's old life keeps a customer's heir but not the pair's ledger, so in a tier of two, once its peer was silent for a second (it speaks with the new life), a request raised KeyError in Gateway.slice. Change: who gave its ledgers is nobody's heir. A test, which fails without it. Measured: the probe refuses with a time to come again, where it raised before.

--- a/corkdeal/succession.py
+++ b/corkdeal/succession.py
@@ -42,7 +42,7 @@
     decisions.neighbours.clear()
     decisions.lively.clear()
     for a in decisions.accounts.values():
-        a.pairs, a.edges = {}, {}
+        a.pairs, a.edges, a.heir_of = {}, {}, None
 
 
 class Rest(memory.Memory, Protocol):
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -21,6 +21,7 @@
 from corkdeal.knowledge.lives import FIRST, REST, Lives
 from corkdeal.knowledge.recall import Recall
 
+from .helpers import Ring, pick, request
 from .net_world import PATIENCE, Program, served
 
 PLAN = t.Plan(rate=2.0, burst=6.0, name="p")
@@ -119,6 +120,15 @@
             assert units <= PLAN.burst + PLAN.rate * (now - EPOCH) + 1e-6
 
 
+def test_an_old_life_of_two_gateways_refuses_what_comes_after_it_gave_all():
+    ring = Ring(2)
+    ring.spread = 2
+    ring.run(3.0, lambda me: 0.2)
+    succession.keep_nothing(ring.gateways[0])
+    actions = ring.gateways[0].handle(ring.now + 2.0, [request(999, spread=2)])  # its peer is silent by then
+    assert pick(actions, t.Refuse) and not pick(actions, t.Send)
+
+
 def test_what_the_old_life_held_is_in_the_new_ones_hands_at_the_end():
     old = Life()
     assert old.ask(EPOCH, customer=7) and old.ask(EPOCH, customer=8)
