Let deaths of a tier of three be measured more than three times in a row

Need: corkdeal experiment members draws ten deaths without repeats, which three gateways do not have; it ended with an error. Change: each death is drawn from all; those of before have started again by then. Measured: the command runs at sizes 3, 10 and 20.

--- a/corkdeal/experiment/members.py
+++ b/corkdeal/experiment/members.py
@@ -155,12 +155,13 @@
 
 
 def deaths(gateways: int, spread: int, seed: int, loss: float, dead: int) -> dict[str, Any]:
-    """Kill one after the other: seconds until 99% of the others know, and until as much is in use again."""
+    """Kill one after the other: seconds until 99% of the others know of each."""
     world = World(gateways, spread, seed, loss)
     world.join()
     world.run(SETTLE)
     took = []
-    for member in world.chance.sample(range(gateways), dead):
+    for _ in range(dead):
+        member = world.chance.randrange(gateways)
         del world.up[member]
         at = world.now
         while world.gone(member) < 0.99 * (len(world.up)) and world.now < at + 60.0:
