--- a/corkdeal/experiment/explore.py
+++ b/corkdeal/experiment/explore.py
@@ -37,6 +37,22 @@
     to: int = 0
 
 
+def decisions(me: int, gateways: int) -> Gateway:
+    """A gateway's decisions as they start with nothing known, with slices taken up from neighbours."""
+    settings = t.Settings(
+        me=me,
+        gateways=gateways,
+        classes=(CLASS,),
+        plans=(PLAN,),
+        max_attempts=4,
+        may_tell_peers=True,
+        peer_intake=60.0,
+    )
+    made = Gateway(settings, seed=me)
+    made.ledgers = Ledgers()
+    return made
+
+
 class World:
     """Three gateways, what is under way between them, and what they let in."""
 
@@ -53,19 +69,7 @@
 
     def start(self, me: int, clock: float = 0.0) -> None:
         """A gateway starts with nothing known."""
-        made = Gateway(
-            t.Settings(
-                me=me,
-                gateways=GATEWAYS,
-                classes=(CLASS,),
-                plans=(PLAN,),
-                max_attempts=4,
-                may_tell_peers=True,
-                peer_intake=60.0,
-            ),
-            seed=me,
-        )
-        made.ledgers = Ledgers()
+        made = decisions(me, GATEWAYS)
         self.starts += 1
         self.up[me], self.clock[me] = made, clock
         self.take(me, self.tell(me, [LIST]))
--- a/corkdeal/experiment/members.py
+++ b/corkdeal/experiment/members.py
@@ -23,13 +23,11 @@
 from ..membership.table import GONE
 from ..plumbing import later
 from ..recovery import waking
-from ..recovery.ledgers import Ledgers
 from ..recovery.pulse import LEAST
+from .explore import decisions
 
 STEP = 0.05  # s
 CUSTOMER = 7
-PLAN = t.Plan(rate=6.0, burst=30.0)
-CLASS = t.RequestClass(aim=1.0, deadline=3.0)
 LIST = t.ServerList(t.ListKind.FULL, (t.ServerEntry("a", t.ServerState.READY),))
 PAUSE_EVERY, PAUSE_LEAST, PAUSE_MOST = 10.0, 0.2, 1.9  # s, of one member, where pauses are played
 SETTLE = 5.0  # s before anything is looked at
@@ -53,19 +51,8 @@
 
     def start(self, me: int) -> None:
         """A gateway starts with nothing known; a customer's ring begins at each."""
-        made = Gateway(
-            t.Settings(
-                me=me,
-                gateways=self.size,
-                classes=(CLASS,),
-                plans=(PLAN,),
-                max_attempts=4,
-                may_tell_peers=True,
-                peer_intake=60.0,
-            ),
-            seed=me,
-        )
-        made.ledgers, made.members = Ledgers(), Members(made, later)
+        made = decisions(me, self.size)
+        made.members = Members(made, later)
         self.up[me] = made
         self.take(me, made.handle(self.now, [LIST]))
 
