--- a/corkdeal/membership/members.py
+++ b/corkdeal/membership/members.py
@@ -216,7 +216,7 @@
 
     def woke(self, gap: float) -> None:
         """This process stood still: nobody is accused for that time, and nothing is taken any more."""
-        self.table.woke(gap, self.d.now)
+        self.table.woke(self.d.now)
         for member in list(self.leases.heard_by):
             self.leases.heard_by[member] += gap
         self.taken.clear()
--- a/corkdeal/membership/table.py
+++ b/corkdeal/membership/table.py
@@ -122,10 +122,13 @@
         return not any(m.state in (SUSPECT, GONE) and abs(m.at - since) < TOGETHER
                        for number, m in self.members.items() if number != member)
 
-    def woke(self, gap: float, now: float) -> None:
-        """This process stood still: silence in that time says nothing, and suspicions are withdrawn."""
+    def woke(self, now: float) -> None:
+        """This process stood still: silence says nothing up to now, and suspicions are withdrawn.
+
+        Silence from before counts no more either: what ended it may have come meanwhile, and is lost.
+        """
         for number, m in self.members.items():
-            m.at = min(now, m.at + gap)
+            m.at = now
             if m.state == SUSPECT:
                 self.turn(number, ALIVE, "this process stood still")
 
