Know own beats by time, not by number, so that many replies end no lease early

Need: found by reading the change again. 64 own beats were kept; each reply is a beat, so a gateway that answers many at once (14 neighbours four times a second, or one that asks all the time) forgot beats sent less than a lease ago. Confirmations of those counted for nothing: no slice was spent twice, but one could be unsure, or a member deaf, without cause. Change: beats are kept for LEASE + TAKE. A test with 400 beats in half a second, which fails without it.

--- a/corkdeal/membership/leases.py
+++ b/corkdeal/membership/leases.py
@@ -17,7 +17,7 @@
 LEASE, TAKE = 2.0, 2.5  # s; MARGIN lies between: clocks' rates, and a turn's length from look to send
 KEEP = 0.25  # of a slice that stays with its owner, whatever is lost
 ASK_EVERY = 0.5  # s between askings for one grant; it holds for LEASE
-BEATS_KEPT = 64  # own beats whose times are known, more than are sent in TAKE
+BEATS_KEPT = LEASE + TAKE  # s that the times of own beats are known, however many replies go out
 
 
 class Leases:
@@ -37,8 +37,8 @@
         """A beat goes out."""
         self.begun = min(now, self.begun)
         self.sent[number] = now
-        while len(self.sent) > BEATS_KEPT:
-            del self.sent[next(iter(self.sent))]
+        while self.sent[first := next(iter(self.sent))] < now - BEATS_KEPT:
+            del self.sent[first]
 
     def heard(self, member: int, beat: int) -> None:
         """A member heard that beat."""
--- a/tests/membership/test_members.py
+++ b/tests/membership/test_members.py
@@ -193,6 +193,11 @@
     assert not other.grant(0, 100.2 + TAKE - 0.01) and other.grant(0, 100.2 + TAKE)
     other.heard_by[0] = 1e9  # it hears this one well
     assert not other.may_ack(0, 100.2 + 2 * TAKE - 0.01) and other.may_ack(0, 100.2 + 2 * TAKE)
+    for number in range(2, 400):  # many replies push out no beat that a lease may still count from
+        owner.beat(100.5, number)
+    assert owner.renewed(2, 1) == 100.0 + LEASE
+    owner.beat(100.0 + LEASE + TAKE + 0.1, 400)
+    assert owner.renewed(2, 1) is None and len(owner.sent) == 399
     taker.beat(103.0, 2)
     taker.granted(1, 0, 2)
     assert taker.grants[1, 0] == 103.0 + LEASE
