Bound a call of the watch as a whole, and ask again within the grace of a drain

Cause: Watch.call gave the head 3 s and the body another 3 s, so an answer whose body fell silent was noticed after up to 6 s, when what it had to tell counts as told. After failures up to a second passed without a call out; where lists are pushed, what the agent has counts as told once discovery is back, and a drain told then has a grace of a quarter of a second. Change: one limit for head and body; for pushed lists, at most 0.8 of the settings' grace between two calls. Found by reading. Ruled out: a body that trickles has the same one limit. Measured: both new tests under a fake clock fail without the change (gaps of 5.9 s and 0.98 s) and pass with it.

--- a/corkdeal/net/resolver.py
+++ b/corkdeal/net/resolver.py
@@ -24,6 +24,7 @@
 ANSWER_LATE = 1.0  # s past that after which a call counts as lost; the rules deem us told at 2 s
 PLAIN_LATE = 3.0  # s for a call that need not wait
 AGAIN, AGAIN_MOST = 0.1, 1.0  # s before another try after a failure, doubling, where calls cost nothing
+AGAIN_PART = 0.8  # of the grace of a drain, at most: a later try would learn of the drain too late
 SHARE = 0.1  # s for each gateway of the tier, over which calls that cost discovery work are spread
 CONNECT_LATE = 1.0  # s
 LONGEST = 4  # times that, at most, after failures: by then a service four times slower has time for everybody
@@ -116,7 +117,9 @@
         self.revision = held.revision if held and held.complete else None  # None asks for the whole list
         self.met = False  # whether it was told anything yet
         share = SHARE * settings.gateways
-        self.least, self.most = (AGAIN, AGAIN_MOST) if settings.list_pushed else (
+        # where lists are pushed, what there is when discovery is back counts as told at once
+        soon = max(AGAIN, min(AGAIN_MOST, AGAIN_PART * settings.drain_grace))
+        self.least, self.most = (AGAIN, soon) if settings.list_pushed else (
             share, max(LONGEST * share, settings.ask_every))
         self.url = f"http://{at[0]}:{at[1]}/v1/servers".encode()
         self.pool = HTTPConnectionPool(reactor, persistent=True)
@@ -162,11 +165,12 @@
             wait = WAIT_MS if self.met else 0  # the first word lets clients in
             url = b"%b?after=%d&wait_ms=%d" % (url, self.revision, wait)
             limit = WAIT_MS / 1000 + ANSWER_LATE
+        until = self.reactor.seconds() + limit  # for head and body together: either may fall silent
         self.waiting = asked = self.agent.request(b"GET", url)
         asked.addTimeout(limit, self.reactor)
         response = yield asked
         self.waiting = reading = readBody(response)
-        reading.addTimeout(PLAIN_LATE, self.reactor)
+        reading.addTimeout(max(0.0, until - self.reactor.seconds()), self.reactor)
         body = yield reading
         if response.code >= 500:
             raise Unavailable(f"discovery answered {response.code}")
--- a/tests/test_resolver.py
+++ b/tests/test_resolver.py
@@ -104,3 +104,57 @@
     start(clock, discovery, 0, [], gateways=40).stop()
     advance(clock, 10.0)
     assert not discovery.calls
+
+
+class Halved:
+    """An agent whose answers come up to the end of their heads; their bodies never do."""
+
+    code = 200
+
+    def __init__(self, clock, head_after):
+        self.clock, self.head_after, self.calls = clock, head_after, []
+
+    def request(self, method, url):
+        self.calls.append(self.clock.seconds())
+        done = Deferred()
+        self.clock.callLater(self.head_after, done.callback, self)
+        return done
+
+    def deliverBody(self, protocol):
+        protocol.makeConnection(self)
+
+    def abortConnection(self):
+        """The call was given up."""
+
+
+@pytest.mark.parametrize("head_after", [0.0, 1.5, 2.9])
+def test_head_and_body_of_an_answer_together_have_the_time_of_one_call(head_after):
+    clock, told = Clock(), []
+    watch = resolver.Watch(clock, ("127.0.0.1", 1), settings(drain_grace=0.25), told.append, HELD,
+                           random.Random(1))
+    watch.agent = agent = Halved(clock, head_after)
+    watch.run()
+    advance(clock, 20.0)
+    limit = resolver.WAIT_MS / 1000 + resolver.ANSWER_LATE
+    gaps = [b - a for a, b in zip(agent.calls, agent.calls[1:], strict=False)]
+    assert len(gaps) >= 5 and max(gaps) <= limit + 0.25 + 0.11
+    assert told == []
+
+
+def test_a_pushed_list_is_asked_for_again_within_the_grace_of_a_drain():
+    clock = Clock()
+    watch = resolver.Watch(clock, ("127.0.0.1", 1), settings(drain_grace=0.25), lambda _: None, HELD,
+                           random.Random(1))
+    calls = []
+
+    def call():  # refused at once, for as long as discovery is down
+        calls.append(clock.seconds())
+        done = Deferred()
+        done.errback(resolver.Unavailable("down"))
+        return done
+
+    watch.call = call
+    watch.run()
+    for _ in range(2000):
+        clock.advance(0.01)
+    assert max(b - a for a, b in zip(calls, calls[1:], strict=False)) <= 0.25
