Begin nothing more for a client that has left, in every place where its request can wait

Cause: Channel.readConnectionLost only noted a half-close, so what its client had asked went on waiting: held by the decisions, between two attempts (on_outcome and watch send again), or while a connection came up (Gateway.gone, too, left that attempt to connectionMade, which wrote it). A channel that is not read (256 owed, answers not taken, a long value without room) heard neither FIN nor RST at all: its descriptor is not registered while reading is paused. Change: 0.15 s after an end of sending, so that a request sent by a client that only half-closes still gets to its backend, the decisions are told that the client has gone, and what no backend has whole gets its one final answer, a refusal; an attempt that is out goes on and is the answer. A reset ends attempts that are not written whole at once. A client's FIN behind more unread bytes than the kernel's buffer holds is not to be seen.

--- a/corkdeal/net/channel.py
+++ b/corkdeal/net/channel.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 from collections import deque
 from typing import Any
@@ -21,6 +22,7 @@
 
 MOST_WAITING = 256  # commands of one channel without an answer; past that it is not read on
 MOST_BAD = 16  # bad requests of one channel; past that it is closed, so that a flood of them costs little
+LEFT_GRACE = 0.15  # s after a client's end of sending in which its requests may still get to a backend
 LINGER = 0.5  # s that a refused channel stays open, unread, so that its client can read why
 OK = b"+OK\r\n"
 STANDBY = b"-ERR standby\r\n"  # PING's answer on standby: the front takes anything but PONG as a no
@@ -51,7 +53,7 @@
         self.bad = 0
         self.waited = 0.0  # s that what is being read lay here while the process stood still
         self.half_closed = self.closing = self.refused = False
-        self.held = self.reading = self.ended = False
+        self.held = self.reading = self.ended = self.left = False
         self.body: Body | None = None  # a command's long value on its way in
         self.kept = 0  # bytes of a long answer that its client has not taken, for the budget
 
@@ -110,7 +112,7 @@
             except BadRequest as error:
                 return self.bad_request(error)
             self.line_up(rpc)
-            self.gateway.take(rpc)
+            self.take(rpc)
         elif name == b"PING" and len(frame.items) == 2:
             self.ready(STANDBY if self.gateway.operators.standby else b"+PONG\r\n")
         elif name in (b"PING", b"ECHO") and len(frame.items) == 3:
@@ -122,6 +124,13 @@
         else:
             self.ready(b"-ERR unknown command\r\n")
 
+    def take(self, rpc: RPC) -> None:
+        """Hand on an RPC that has come whole, unless its client left while it lay here unread."""
+        if self.left:
+            rpc.reply = [self.gateway.turned_down(rpc, 0.0)]
+        else:
+            self.gateway.take(rpc)
+
     def line_up(self, rpc: RPC) -> None:
         """One more answer is owed here; past so many the channel is not read on."""
         rpc.channel = self
@@ -157,7 +166,7 @@
             body.end()
             if body.rpc is not None:
                 body.rpc.deadline = now + body.rpc.request.patience
-                self.gateway.take(body.rpc)
+                self.take(body.rpc)
             return True
         return self.body_comes()
 
@@ -342,13 +351,39 @@
             return False
 
     def readConnectionLost(self) -> None:
-        """The client sends no more. It may still read, so what it asked for is answered first."""
+        """The client sends no more, for it has gone or will only read on; which, is not told.
+
+        What is on its way to a backend has a moment to get there, and each request has its answer first.
+        """
         self.half_closed = True
         if self.body is not None:
             count("command_cut_short")
             self.forget_body()
         if not self.waiting:
             self.end()
+        else:  # by way of one more turn: what came while this process was late is seen first
+            later = self.gateway.reactor.callLater
+            later(LEFT_GRACE, later, 0, self.client_left)
+
+    def client_left(self) -> None:
+        """Nothing new is begun any more for what is open here, nor for what is still to be read."""
+        self.left = True
+        for rpc in [w for w in self.waiting if w.reply is None]:
+            self.gateway.left(rpc)
+
+    def look_behind(self) -> None:
+        """See whether its client has ended its sending, or all: who is not read does not hear of that."""
+        if self.left or self.refused or (handle := self.transport.getHandle()) is None:
+            return
+        poll = select.poll()
+        poll.register(handle, select.POLLRDHUP)
+        for _, what in poll.poll(0):
+            if what & (select.POLLERR | select.POLLHUP):
+                count("channel_gone_while_unread")
+                self.transport.abortConnection()
+            elif what & select.POLLRDHUP:
+                count("channel_left_while_unread")
+                self.client_left()
 
     def writeConnectionLost(self) -> None:
         """This side's own half-close; the other half ends the channel."""
--- a/corkdeal/net/descriptors.py
+++ b/corkdeal/net/descriptors.py
@@ -48,7 +48,9 @@
         return True
 
     def sweep(self) -> None:
-        """End channels that sent nothing or half a command, and those idle for long."""
+        """End channels that sent nothing or half a command, that idle for long, or that clients have left."""
+        for each in [c for c in self.channels if c.paused]:
+            each.look_behind()
         now, many = self.now(), len(self.channels) > self.most // 8
         # a channel taken on standby is closing from its start, and is timed like the others until it speaks
         for each in [c for c in self.channels if c.spare or (c.closing and not c.spoke and not c.refused)]:
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -13,6 +13,7 @@
 
 from .. import early, logs
 from .. import interface as t
+from ..brain import NEVER_RAN
 from ..brain import Gateway as Decisions
 from . import channel, invariants
 from .backends import Backends
@@ -200,6 +201,15 @@
             each.close_when_idle()
         self.channel_ended()
 
+    def abandon(self, rpc: RPC) -> None:
+        """Give an RPC up from this side, in whatever state it is, with its one final answer."""
+        rpc.left = True
+        self.feed(t.ClientGone(rpc.request.id))
+        if rpc.attempt is None:
+            self.refuse(t.Refuse(rpc.request.id, 0.0))
+        else:
+            self.pool.give_up(rpc.attempt, t.Status.CANCELLED if rpc.attempt.whole else t.Status.MOOT)
+
     def channel_ended(self) -> None:
         """End once draining is done and the last channel has closed."""
         if self.draining and not (self.ending or self.channels or self.rpcs) and self.reactor.running and (
@@ -296,9 +306,22 @@
             return None
 
     def gone(self, rpc: RPC) -> None:
-        """Its client has gone away."""
+        """Its client has gone away: what a backend has not got whole is not sent any more."""
         if self.settle(rpc.request.id) is not None:
             self.feed(t.ClientGone(rpc.request.id))
+            if rpc.attempt is not None and not rpc.attempt.whole:
+                self.pool.give_up(rpc.attempt, t.Status.MOOT)
+
+    def left(self, rpc: RPC) -> None:
+        """Its client sends no more, as one that has gone: nothing more is begun for it.
+
+        One that has only ended its sending still reads, so it has its one final answer all the same: an
+        attempt that a backend has goes on and is that answer, else it is refused here.
+        """
+        if rpc.attempt is None or not rpc.attempt.whole:
+            return self.abandon(rpc)
+        rpc.left = True
+        self.feed(t.ClientGone(rpc.request.id))
 
     def finished(self, attempt: Attempt, reply: Reply) -> None:
         """An attempt ended; a value is passed on before the module hears of it."""
@@ -317,6 +340,9 @@
         if reply.status is t.Status.OK and not rpc.done:
             self.tally["success"] += 1
             self.answer(rid, [reply.value])
+        elif rpc.left:  # the decisions have let go of it
+            never = rpc.attempts == 1 and reply.status in NEVER_RAN
+            self.refuse(t.Refuse(rid, 0.0)) if never else self.fail(t.Fail(rid))
         if self.decisions.opening is not None:
             self.decisions.opening.answered(reply.status is t.Status.OK)
         self.feed(t.Outcome(rid, attempt.number, attempt.server, reply.status, elapsed, rpc.done,
--- a/corkdeal/net/rpc.py
+++ b/corkdeal/net/rpc.py
@@ -42,6 +42,7 @@
     attempt: Any = None  # the attempt that is out
     attempts: int = 0
     done: bool = False  # answered, or nobody waits for it
+    left: bool = False  # its client sends no more, so nothing more is begun for it
     reply: list[Any] | None = None  # the answer, or what has come of it, while it waits for those before it
     passage: Any = None  # what passes on an answer with a long value
     body: Any = None  # the command's own long value
--- a/corkdeal/net/subchannel.py
+++ b/corkdeal/net/subchannel.py
@@ -40,6 +40,13 @@
     over: bool = False
     first: float | None = None  # s from sending it to the first byte of a long answer, once that is passed on
 
+    @property
+    def whole(self) -> bool:
+        """Whether its last byte was handed to the kernel, so that its backend may have begun it."""
+        conn = self.conn
+        return conn is not None and conn.begun_at is not None and not (
+            conn.sender or gather.pending(conn.transport))
+
 
 class Subchannel(LineReceiver):
     """One connection to a backend: a LineReceiver in raw mode; giving up its attempt ends it."""
