On a planned end serve what the kernel holds, and answer all before the kill

Cause, three places of the drain. Gateway.close closed the port over connections that the kernel had accepted, and their requests were reset though they count as taken. Channel.flush closed a draining channel with its last answer without looking, unlike close_if_idle, so a request that came in the same turn was cut off. And nothing bounded a request that came on a channel kept open by a slow answer: SIGKILL comes 0.7 s after the longest deadline, counted as 3 s at most, and with deadlines of 4 and 5 s one that came late, with the backends hanging, was never answered. Change: accept all that is queued before the port closes (not on a socket handed down, on which others accept); one way to close a channel that drains; after SIGTERM no request has longer than up to 0.15 s before the kill, told to its backend as well, and then all that is open has its answer. SIGHUP after the end has begun starts no watch.

--- a/corkdeal/net/channel.py
+++ b/corkdeal/net/channel.py
@@ -270,8 +270,10 @@
                 self.transport.loseWriteConnection()
                 self.transport.pauseProducing()  # 60 MB that nobody wants would cost more than its client
                 self.gateway.reactor.callLater(LINGER, self.transport.abortConnection)
-            elif (self.closing and not self.parser.midway) or self.half_closed:
-                self.end()  # half a command is waited for; the sweep bounds that wait
+            elif self.half_closed:
+                self.end()
+            elif self.closing:
+                self.close_if_idle()  # half a command is waited for; the sweep bounds that wait
 
     def pauseProducing(self) -> None:
         """The client does not take what is written: it is not read on, and neither is who answers it."""
@@ -424,6 +426,15 @@
     return reactor.listenTCP(at[1], Channels(gateway), backlog=socket.SOMAXCONN, interface=at[0])
 
 
+def accept_queued(port: Any) -> None:
+    """Accept all connections that the kernel holds for this port: closing it would reset them.
+
+    Their clients may have written a request already, and what this machine accepted counts as taken.
+    """
+    port.numberAccepts = socket.SOMAXCONN  # Twisted accepts about as many in a row as came the last time
+    port.doRead()
+
+
 def adopt(reactor: Any, fd: int, gateway: Any) -> Any:
     """Accept on a listening socket that was handed down, shared with the process before this one.
 
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -38,6 +38,8 @@
 
 START_WAIT = 0.25  # s that a start waits for discovery's first word before it goes by `known`
 STAY_UP = 0.5  # s after SIGTERM that new connections are taken; they keep coming for 0.4
+LONGEST_MOST, KILL_WAIT = 3.0, 0.7  # s; SIGKILL comes so long after the longest deadline, 3 s at most
+LAST_WORD = 0.15  # s before it by which all has its final answer
 PROBE_TIMEOUT = 0.25  # s
 SWEEP_EVERY = 0.1  # s between looks for connections to retire
 REPORT_EVERY = 10.0  # s between lines of counts
@@ -70,6 +72,7 @@
         self.port: Any = None
         self.opening: Any = None  # the next try to listen
         self.begun = self.started = self.draining = self.ending = False
+        self.last_at = math.inf  # by when all has its answer, once it drains
         self.peer_port: Any = None
         self.recovery: Recovery | None = None  # of what may be relied on after a pause, where that is on
         self.membership: Membership | None = None  # who of the tier is there, where that is on
@@ -171,6 +174,8 @@
 
     def reload(self) -> None:
         """SIGHUP: check the file whole, then move the watch; RPCs, channels and subchannels go on."""
+        if self.ending:
+            return  # the watch has stopped for good
         try:
             new = load()
         except ConfigError as error:
@@ -189,18 +194,30 @@
         if not self.draining:
             self.draining = True
             logs.event("draining", open=len(self.rpcs))
+            longest = min(LONGEST_MOST, max(c.deadline for c in self.settings.classes))
+            left = max(STAY_UP, longest + KILL_WAIT - LAST_WORD)
+            self.last_at = self.now() + left
             self.reactor.callLater(STAY_UP, self.close)
+            self.reactor.callLater(left, self.last_call)
 
     def close(self) -> None:
         """Take no new connections; what was taken is still answered."""
         if self.succession is not None:
             self.succession.end()
         if self.port:
+            if self.config.inherited is None:  # of a shared socket others accept on
+                channel.accept_queued(self.port)
             self.port.stopListening()
         for each in list(self.channels):
             each.close_when_idle()
         self.channel_ended()
 
+    def last_call(self) -> None:
+        """Answer all that is open: channels that stayed have brought more, and the process is killed soon."""
+        for rpc in list(self.rpcs.values()):
+            count("unserved_at_last_call")
+            self.abandon(rpc)
+
     def abandon(self, rpc: RPC) -> None:
         """Give an RPC up from this side, in whatever state it is, with its one final answer."""
         rpc.left = True
@@ -284,7 +301,10 @@
     def take(self, rpc: RPC) -> None:
         """An RPC has come whole; from here on it is owed an answer, at once where its time is over."""
         self.rpcs[rpc.request.id] = rpc
-        if self.recovery is not None and rpc.request.patience <= 0:
+        if self.draining and rpc.deadline > self.last_at:
+            rpc.deadline = self.last_at
+            rpc.request = dataclasses.replace(rpc.request, patience=max(0.0, self.last_at - self.now()))
+        if (self.recovery is not None or self.draining) and rpc.request.patience <= 0:
             count("request_too_old")
             return self.refuse(t.Refuse(rpc.request.id, 0.0))
         self.feed(rpc.request)
--- a/tests/test_net_moments.py
+++ b/tests/test_net_moments.py
@@ -212,6 +212,80 @@
         self.assertEqual(self.process.wait(PATIENCE), 0)
 
 
+class Ends(Moments):
+    """A planned end loses nothing that came, and is over before the process is killed."""
+
+    def test_connections_that_wait_in_the_kernel_are_served(self):
+        self.start(a={})
+        self.process.send_signal(signal.SIGTERM)
+        self.line("draining")
+        self.freeze()
+        stopped = time.monotonic()
+        clients = [self.client() for _ in range(4)]
+        for rid, client in enumerate(clients):
+            self.ask(client, rid=rid)
+        self.thaw(after=0.6, since=stopped)  # closing the port comes first now
+        for _ in clients:
+            self.world.next().conn.send(served())
+        for client in clients:
+            self.assertEqual(client.read(), [b"v"])
+        self.assertEqual(self.process.wait(PATIENCE), 0)
+
+    def test_a_request_that_comes_in_the_turn_of_the_last_answer_is_served(self):
+        self.start(a={})
+        client, idle = self.client(), self.client()
+        idle.send(command(b"PING"))
+        self.assertEqual(idle.read(), [b"PONG"])
+        self.ask(client, d=4000)
+        asked = self.world.next()
+        self.process.send_signal(signal.SIGTERM)
+        self.assertIsNone(idle.read())  # closed as it was idle: from here on the other closes when it is
+        self.freeze()
+        asked.conn.send(served(b"first"))
+        self.ask(client, rid=2)
+        self.thaw()
+        self.assertEqual(client.read(), [b"first"])
+        self.world.next().conn.send(served(b"second"))
+        self.assertEqual(client.read(), [b"second"])
+        self.assertIsNone(client.read())
+        self.assertEqual(self.process.wait(PATIENCE), 0)
+
+    def test_what_is_still_open_is_answered_before_the_kill(self):
+        settings = copy.deepcopy(SETTINGS)
+        for each in settings["classes"]:
+            each.update(aim_us=600_000, deadline_us=600_000)  # so the kill is due 1.3 s after SIGTERM
+        self.start(config={"settings": settings}, a={}, b={}, c={}, d={})
+        client, waiting, idle = self.client(), self.client(), self.client()
+        idle.send(command(b"PING"))
+        self.assertEqual(idle.read(), [b"PONG"])
+        self.ask(client, b"pay", d=80000, body=b"x")
+        self.ask(waiting, b"pay", d=80000, rid=2, body=b"y")
+        first, second = self.world.next(), self.world.next()  # and both backends hang
+        self.process.send_signal(signal.SIGTERM)
+        self.line("draining")
+        self.assertIsNone(idle.read())
+        self.ask(client, b"pay", d=80000, rid=3, body=b"z")  # on a channel that stays open
+        third = self.world.next()
+        self.assertLess(int(third.params[b"d"]), 1300)  # it has not so long as its client says
+        self.assertEqual(client.read(), [GONE])
+        self.assertEqual(client.read(), [GONE])
+        self.assertEqual(waiting.read(), [GONE])
+        self.assertEqual(self.process.wait(PATIENCE), 0)
+        self.assertTrue(all(each.ended.wait(PATIENCE) for each in (first, second, third)))
+
+    def test_signals_that_come_twice_or_late_change_nothing(self):
+        self.start(a={})
+        client = self.client()
+        self.ask(client, d=4000)
+        asked = self.world.next()
+        for sign in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            self.process.send_signal(sign)
+        self.line("reloaded")
+        asked.conn.send(served())
+        self.assertEqual(client.read(), [b"v"])
+        self.assertEqual(self.process.wait(PATIENCE), 0)
+
+
 class Idle(Moments):
     """A channel is not closed over bytes that have come and were not read yet."""
 
@@ -266,5 +340,9 @@
     build = ("-O",)
 
 
+class ReleaseEnds(Ends):
+    build = ("-O",)
+
+
 if __name__ == "__main__":
     unittest.main()
