Measure a fleet's quotas in virtual time: a judge counts what passes beyond them, at 40 and 200

Change: experiment/quotas.py plays the decisions of a whole tier, with messages lost, late and over a receiver's intake, against a judge with each customer's true store and attempts out; benchmarks/quotas.py plays it against another revision in the same run.

--- /dev/null
+++ b/benchmarks/quotas.py
@@ -0,0 +1,121 @@
+"""What a fleet lets through beyond its customers' quotas, in virtual time, against another revision.
+
+PYTHONPATH=. python -O benchmarks/quotas.py [--sizes 40,200] [--seeds 2] [--against CHECKOUT] [--out FILE]
+
+Two mixes of plans, one where nearly all that passes beyond a quota is dear (four plans, one with a limit on
+attempts out alone) and one where a part of it earns. `collectors` has the gateways at which a customer's news
+is collected killed at 8 s and back at 12 s, `third` three in ten of all. The judge is `experiment/quotas.py`.
+"""
+
+from __future__ import annotations
+
+import argparse
+import concurrent.futures
+import importlib.util
+import json
+import os
+import pathlib
+import subprocess
+import sys
+from typing import Any
+
+RIG = pathlib.Path(__file__).parents[1] / "corkdeal" / "experiment" / "quotas.py"
+KILL_AT, BACK_AT = 8.0, 12.0  # s
+
+
+def mixes(size: int, rig: Any) -> dict[str, Any]:
+    """The fleets that are played, by name."""
+    plan, many = rig.t.Plan, size / 200
+    dear = (
+        plan(rate=1.3, burst=6.0, price=0.5, over_cost=0.8),
+        plan(rate=2.7, burst=11.0, price=0.8, over_cost=1.2),
+        plan(max_open=6, price=1.3, over_cost=1.2),
+        plan(rate=20.0, burst=40.0, price=1.6, over_cost=0.8),
+    )
+    cheap = (
+        plan(rate=1.4, burst=5.6, price=1.1, over_cost=0.5),
+        plan(rate=9.5, burst=16.0, price=1.4, over_worth=0.3),
+    )
+
+    def customers(*of_200: int) -> tuple[int, ...]:
+        return tuple(max(1, round(n * many)) for n in of_200)
+
+    return {
+        "dear": rig.Fleet(dear, customers(560, 170, 50, 45), size),
+        "cheap": rig.Fleet(cheap, customers(800, 70), size, intake=60.0, units=(1.0,)),
+    }
+
+
+def play(mix: str, size: int, seed: int, fault: str) -> dict[str, Any]:
+    """One play of the revision on the path, by this tree's rig."""
+    spec = importlib.util.spec_from_file_location("corkdeal.experiment.quotas", RIG)
+    rig = sys.modules["corkdeal.experiment.quotas"] = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(rig)
+    world = rig.World(mixes(size, rig)[mix], seed)
+    if fault != "none":
+        world.run(KILL_AT)
+        dead = (
+            world.chance.sample(range(size), round(0.3 * size))
+            if fault == "third"
+            else [
+                me
+                for me, g in world.gateways.items()
+                if any(a.wide and a.edges and a.upward is None for a in g.accounts.values())
+            ]
+        )
+        for me in dead[: round(0.3 * size)]:
+            world.kill(me)
+        world.run(BACK_AT)
+        for me in dead[: round(0.3 * size)]:
+            world.start(me)
+    return world.run()
+
+
+def main() -> None:
+    """Play all, each revision in processes of its own, and print a line a play."""
+    p = argparse.ArgumentParser()
+    p.add_argument("--sizes", default="40,200")
+    p.add_argument("--seeds", type=int, default=2)
+    p.add_argument("--faults", default="none,third")
+    p.add_argument("--against", type=pathlib.Path)
+    p.add_argument("--jobs", type=int, default=4)
+    p.add_argument("--out", type=pathlib.Path)
+    p.add_argument("--play", help=argparse.SUPPRESS)
+    args = p.parse_args()
+    if args.play:
+        mix, size, seed, fault = args.play.split(",")
+        return print(json.dumps(play(mix, int(size), int(seed), fault)))
+
+    def one(what: tuple[str, str]) -> str:
+        where = str(args.against if what[0] == "before" else RIG.parents[2])
+        run = subprocess.run(
+            [sys.executable, "-O", __file__, "--play", what[1]],
+            capture_output=True,
+            text=True,
+            check=True,
+            env={**os.environ, "PYTHONPATH": where},
+            timeout=600,
+        )
+        return run.stdout
+
+    plays = [
+        (revision, f"{mix},{size},{seed},{fault}")
+        for size in args.sizes.split(",")
+        for mix in ("dear", "cheap")
+        for fault in args.faults.split(",")
+        for seed in range(1, args.seeds + 1)
+        for revision in (["before"] if args.against else []) + ["now"]
+    ]
+    with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
+        rows = [
+            {"revision": revision, "play": name, **json.loads(text)}
+            for (revision, name), text in zip(plays, pool.map(one, plays), strict=True)
+        ]
+    for row in rows:
+        print(json.dumps(row))
+    if args.out:
+        args.out.write_text("[\n" + ",\n".join(json.dumps(row) for row in rows) + "\n]\n")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/corkdeal/experiment/quotas.py
@@ -0,0 +1,302 @@
+"""Quotas of a whole fleet, on the decisions alone: what passes beyond them and what is lost inside.
+
+All gateways' decisions run in one process, in virtual time; messages come late, some are lost, and a gateway
+takes in only so many a second. Servers answer all they get. A judge sees every attempt at its moment and
+keeps each customer's true store and attempts out, as PROTOCOL counts them: it needs no word of the decisions.
+Deterministic by seed; no sockets, no clock.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from .. import interface as t
+from ..brain import Gateway
+
+CALM, FULL, HEAVY, SPIKY = "calm", "full", "heavy", "spiky"
+KINDS = ((FULL, 0.18), (HEAVY, 0.09), (SPIKY, 0.18))  # shares of the customers; the others are calm
+USE = {CALM: (0.16, 0.46), FULL: (0.8, 1.0), HEAVY: (1.9, 4.5), SPIKY: (0.16, 0.46)}  # of the rate
+SPIKE_TIMES, SPIKE_LASTS, SPIKE_EVERY = (10.0, 23.0), (1.0, 4.0), (13.0, 22.0)  # of usual, s, s
+SHIFT_EVERY, SKEW = (8.0, 24.0), 0.7  # s between new weights of a customer's gateways; their spread
+COME_AGAIN, TRY_SHARE, BACKOFF = 3, 0.75, 0.2  # tries, share of clients that make them, s
+MESSAGE = (0.003, 0.032)  # s under way
+ANSWER = 0.25  # s for a unit, give or take half
+OPEN_USE = 0.5  # of a limit on attempts out, what a use of 1 keeps out
+
+
+@dataclass(slots=True, frozen=True)
+class Fleet:
+    """What is played: a tier, its plans and how many customers each has, and what messages meet."""
+
+    plans: tuple[t.Plan, ...]
+    customers: tuple[int, ...]  # of each plan
+    gateways: int = 200
+    seconds: float = 25.0
+    loss: float = 0.05
+    intake: float = 100.0  # messages a second
+    units: tuple[float, ...] = (1.0, 2.0)  # of the classes
+    sets: tuple[float, float] = (0.5, 1.0)  # of the gateways, a customer's set
+
+
+@dataclass(slots=True)
+class Customer:
+    """One customer: its demand, its gateways, and its true store and attempts out."""
+
+    number: int
+    plan: int
+    first: int
+    spread: int
+    kind: str
+    rate: float  # units a second that it asks in usual times
+    weights: list[float] = field(default_factory=list)
+    times: float = 1.0  # in a spike
+    shift_at: float = 0.0
+    spike_at: float = 0.0
+    spike_until: float = 0.0
+    store: float = 0.0
+    at: float = 0.0
+    out: int = 0
+    ideal: float = 0.0  # store of one gateway that saw all first tries
+    ideal_at: float = 0.0
+    ideal_out: list[float] = field(default_factory=list)
+
+
+class Judge:
+    """What the outside counts, in units by plan: offered, sent inside the quotas, sent beyond them."""
+
+    def __init__(self, plans: tuple[t.Plan, ...]) -> None:
+        self.plans = plans
+        self.offered: Counter[int] = Counter()
+        self.inside: Counter[int] = Counter()
+        self.beyond: Counter[int] = Counter()
+
+    def offer(self, c: Customer, now: float, units: float) -> None:
+        """A first try: offered if one gateway that saw all of them would let it in."""
+        plan = self.plans[c.plan]
+        c.ideal, c.ideal_at = min(plan.burst, c.ideal + plan.rate * (now - c.ideal_at)), now
+        c.ideal_out = [x for x in c.ideal_out if x > now]
+        if (plan.rate and c.ideal < units) or (plan.max_open and len(c.ideal_out) >= plan.max_open):
+            return
+        c.ideal -= units if plan.rate else 0.0
+        c.ideal_out.append(now + ANSWER * units)
+        self.offered[c.plan] += units
+
+    def sent(self, c: Customer, now: float, units: float) -> None:
+        """An attempt comes to a server."""
+        plan = self.plans[c.plan]
+        c.store, c.at = min(plan.burst, c.store + plan.rate * (now - c.at)), now
+        good = (not plan.rate or c.store >= units) and (not plan.max_open or c.out < plan.max_open)
+        c.out += 1
+        c.store -= units if good and plan.rate else 0.0
+        (self.inside if good else self.beyond)[c.plan] += units
+
+    def table(self) -> dict[str, Any]:
+        """Shares of the worth offered: sent inside, and what is paid for what went beyond."""
+        whole = sum(p.price * self.offered[i] for i, p in enumerate(self.plans)) or 1.0
+        paid = sum(p.price * p.over_cost * self.beyond[i] for i, p in enumerate(self.plans))
+        inside = sum(p.price * min(self.inside[i], self.offered[i]) for i, p in enumerate(self.plans))
+        return {
+            "inside": round(inside / whole, 4),
+            "over_quota": round(paid / whole, 4),
+            "beyond": [round(self.beyond[i] / (self.offered[i] or 1.0), 3) for i in range(len(self.plans))],
+        }
+
+
+class World:
+    """A fleet in virtual time."""
+
+    def __init__(self, fleet: Fleet, seed: int, make: Callable[[t.Settings, int], Gateway] = Gateway) -> None:
+        self.fleet, self.chance, self.seed, self.make = fleet, random.Random(seed), seed, make
+        self.now = self.begun = 1000.0
+        self.number, self.judge = itertools.count(1), Judge(fleet.plans)
+        self.agenda: list[tuple[float, int, Callable[[], None]]] = []
+        self.sent = self.lost = self.bytes = self.first_tries = 0
+        self.got: Counter[int] = Counter()  # messages that came, by receiver
+        self.room: dict[int, tuple[float, float]] = {}  # by receiver: messages it may still take, since when
+        self.requests: dict[int, tuple[Customer, int, int]] = {}
+        self.customers: list[Customer] = []
+        for plan, many in enumerate(fleet.customers):
+            for _ in range(many):
+                self.customers.append(self.customer(plan))
+        names = [f"s{i}" for i in range(max(10, fleet.gateways // 2))]
+        self.list = t.ServerList(t.ListKind.FULL, tuple(t.ServerEntry(n, t.ServerState.READY) for n in names))
+        self.gateways: dict[int, Gateway] = {}
+        for me in range(fleet.gateways):
+            self.later(self.chance.uniform(0.0, 0.2), lambda me=me: self.start(me))
+        for c in self.customers:
+            self.next_try(c)
+
+    def start(self, me: int) -> None:
+        """A gateway starts with nothing known."""
+        f = self.fleet
+        classes = tuple(t.RequestClass(aim=1.0, deadline=4.0, name=f"c{i}") for i in range(len(f.units)))
+        settings = t.Settings(
+            me=me,
+            gateways=f.gateways,
+            classes=classes,
+            plans=f.plans,
+            max_attempts=3,
+            may_cancel=True,
+            may_tell_peers=True,
+            may_advise_wait=True,
+            max_advised_wait=2.0,
+            peer_intake=f.intake,
+            most_units=max(f.units),
+        )
+        self.gateways[me] = self.make(replace(settings, me=me), self.seed * 1000 + me)
+        self.give(me, self.list)
+
+    def kill(self, me: int) -> None:
+        """A gateway is gone, with all it knew; its timers and answers find nobody."""
+        self.gateways.pop(me, None)
+
+    def customer(self, plan_number: int) -> Customer:
+        """Draw one."""
+        chance, plan, most = self.chance, self.fleet.plans[plan_number], self.fleet.gateways
+        lot, kind = chance.random(), CALM
+        for name, share in KINDS:
+            if 0 <= lot < share:
+                kind = name
+            lot -= share
+        usual = plan.rate or OPEN_USE * plan.max_open / ANSWER
+        spread = max(2, min(most, round(most * chance.uniform(*self.fleet.sets))))
+        c = Customer(
+            len(self.customers),
+            plan_number,
+            chance.randrange(most),
+            spread,
+            kind,
+            usual * chance.uniform(*USE[kind]),
+        )
+        c.store = c.ideal = plan.burst
+        c.at = c.ideal_at = self.now
+        c.spike_at = self.now + chance.uniform(0, SPIKE_EVERY[1])
+        return c
+
+    def later(self, seconds: float, act: Callable[[], None]) -> None:
+        """Do it then."""
+        heapq.heappush(self.agenda, (self.now + seconds, next(self.number), act))
+
+    def next_try(self, c: Customer) -> None:
+        """The time of a customer's next request."""
+        chance, units = self.chance, sum(self.fleet.units) / len(self.fleet.units)
+        if c.kind == SPIKY and self.now >= max(c.spike_at, c.spike_until):
+            c.times, c.spike_until = chance.uniform(*SPIKE_TIMES), self.now + chance.uniform(*SPIKE_LASTS)
+            c.spike_at = self.now + chance.uniform(*SPIKE_EVERY)
+        spiking = self.now < c.spike_until
+        wait = chance.expovariate(c.rate * (c.times if spiking else 1.0) / units)
+        if c.kind == SPIKY and not spiking and self.now + wait > c.spike_at:
+            return self.later(max(0.0, c.spike_at - self.now), lambda: self.next_try(c))
+        self.later(wait, lambda: self.ask(c))
+
+    def ask(self, c: Customer) -> None:
+        """A customer's request comes, and the next one follows."""
+        cls = self.chance.randrange(len(self.fleet.units))
+        self.judge.offer(c, self.now, self.fleet.units[cls])
+        self.first_tries += 1
+        self.attempt(c, cls, COME_AGAIN if self.chance.random() < TRY_SHARE else 0, False)
+        self.next_try(c)
+
+    def gateway_for(self, c: Customer) -> int:
+        """One of its set, by weights that change now and then; another one where that is down."""
+        if self.now >= c.shift_at:
+            c.shift_at = self.now + self.chance.uniform(*SHIFT_EVERY)
+            drawn = [math.exp(self.chance.gauss(0.0, SKEW)) for _ in range(c.spread)]
+            c.weights = list(itertools.accumulate(drawn))
+        place = self.chance.choices(range(c.spread), cum_weights=c.weights)[0]
+        ring = [(c.first + place + i) % self.fleet.gateways for i in range(c.spread)]
+        return next((me for me in ring if me in self.gateways), -1)
+
+    def attempt(self, c: Customer, cls: int, again: int, retry: bool) -> None:
+        """One try at a gateway."""
+        rid, me = next(self.number), self.gateway_for(c)
+        if me in self.gateways:
+            self.requests[rid] = c, cls, again
+            self.give(
+                me,
+                t.Request(rid, c.number, c.plan, cls, self.fleet.units[cls], c.first, c.spread, 4.0, retry),
+            )
+
+    def give(self, me: int, event: t.Event) -> None:
+        """Hand a gateway an event and carry out what it says."""
+        if me in self.gateways:
+            self.take(me, self.gateways[me].handle(self.now, [event]))
+
+    def take(self, me: int, actions: Iterable[t.Action]) -> None:
+        """Carry out a gateway's actions; a timer finds nobody but the life that set it."""
+        life = self.gateways[me]
+        for a in actions:
+            if isinstance(a, t.Tell):
+                self.tell(me, a)
+            elif isinstance(a, t.Send):
+                self.send(me, a)
+            elif isinstance(a, t.SetTimer):
+                self.later(
+                    a.delay,
+                    lambda token=a.token: (
+                        self.give(me, t.TimerDue(token)) if self.gateways.get(me) is life else None
+                    ),
+                )
+            elif isinstance(a, t.Refuse):
+                c, cls, again = self.requests.pop(a.id)
+                if again:
+                    usual = self.chance.uniform(0.5, 1.5) * BACKOFF * 2 ** (COME_AGAIN - again)
+                    self.later(
+                        max(a.retry_after, usual),
+                        lambda c=c, cls=cls, n=again - 1: self.attempt(c, cls, n, True),
+                    )
+
+    def tell(self, me: int, a: t.Tell) -> None:
+        """A message goes under way, if it isn't lost."""
+        self.sent += 1
+        if self.chance.random() < self.fleet.loss:
+            self.lost += 1
+            return
+        self.later(self.chance.uniform(*MESSAGE), lambda: self.arrive(me, a.peer, a.payload))
+
+    def arrive(self, sender: int, to: int, payload: bytes) -> None:
+        """It is taken in if there is room: `intake` a second, a second's worth at once."""
+        self.got[to] += 1
+        room, at = self.room.get(to, (self.fleet.intake, self.now))
+        room = min(self.fleet.intake, room + self.fleet.intake * (self.now - at))
+        self.room[to] = (room - 1 if room >= 1 else room), self.now
+        if room < 1:
+            self.lost += 1
+            return
+        self.bytes += len(payload)
+        self.give(to, t.PeerMessage(sender, payload))
+
+    def send(self, me: int, a: t.Send) -> None:
+        """An attempt reaches its server, and is answered."""
+        c, cls, _ = self.requests.pop(a.id)
+        units = self.fleet.units[cls]
+        self.judge.sent(c, self.now, units)
+        lasts = self.chance.uniform(0.5, 1.5) * ANSWER * units
+        self.later(lasts, lambda: self.answered(me, a, c, lasts))
+
+    def answered(self, me: int, a: t.Send, c: Customer, lasts: float) -> None:
+        """The attempt is over."""
+        c.out -= 1
+        self.give(me, t.Outcome(a.id, 0, a.server, t.Status.OK, lasts, True))
+
+    def run(self, seconds: float | None = None) -> dict[str, Any]:
+        """Play it to that second; what the judge counted and what was told."""
+        end = self.begun + (self.fleet.seconds if seconds is None else seconds)
+        while self.agenda and self.agenda[0][0] <= end:
+            self.now, _, act = heapq.heappop(self.agenda)
+            act()
+        whole = (end - self.begun) * self.fleet.gateways
+        return {
+            **self.judge.table(),
+            "messages": round(self.sent / whole, 1),  # a second and gateway
+            "most_got": round(max(self.got.values(), default=0) / (end - self.begun), 1),
+            "not_taken": round(self.lost / max(1, self.sent), 3),
+            "peer": round(self.bytes / 256 / max(1, self.first_tries), 2),
+        }  # as the price counts them
