Let a wide ring's news go over two levels, and to all members from one collecting point

By a judge in virtual time: none with one view shared by all, so the ways of the news are at fault (Gateway.tell_ring, join_ring). A member told only a tenth of a burst upwards, but 200 members with a tenth each untold are 20 bursts; news went by doubling distances, four hops up and four down, and each edge waited by itself (0.25 s up, 2.2 s down), so it was four seconds old, of spikes that last as long; and a note a customer and edge took 125 messages a second of an intake of 100. Members tell the head of their block at once, heads and collecting points wait once for all customers that share their way, by what a receiver takes in; sets over half of the tier share its trees, so messages are full. Demand is averaged over 2.5 s (4.4), and what is let in goes down from a quarter of the burst (0.4). Version 5 of these notes; old and new don't exchange theirs during an upgrade.

--- a/corkdeal/brain.py
+++ b/corkdeal/brain.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from . import interface as t
-from . import peers
+from . import peers, wide
 from .cold import ColdBudget
 from .plumbing import Plumbing
 from .state import Account, Edge, Pair, Pending, Server
@@ -28,11 +28,8 @@
 FORGET_AFTER, FORGET_WIDE = 15.0, 60.0  # s without requests at either end, and without news of a wide ring
 OLDER = 3000  # ms; a neighbour that started this much before knows what was spent before this one's time
 NARROW = 8  # members; adjacent trades even a ring out in about (members / 2)^2 rounds, here 4 s
-DEMAND_MEMORY, RING_MEMORY = 2.0, 4.0  # s that demand is averaged over; a wide ring hears of it later
-AMPLE, MOST_OVER = 0.4, 1.25  # of the burst, at which a wide ring lets in its rate; most it lets in above
-UP_STEP = 0.1  # of the burst asked anew, for a note to the collecting point
-TELL_EVERY, TELL_STEP = 0.01, 0.15  # s a member, and the same, for notes away from it: one for each member
-TIGHT = 0.8  # of the rate asked, above which members are told
+DEMAND_MEMORY = 2.0  # s that demand is averaged over
+AMPLE, MOST_OVER = 0.25, 1.6  # of the burst, at which a wide ring lets in its rate; most it lets in above
 CAP_USE = 0.3  # of a cap on attempts, mean use at which letting more in costs more than it brings
 SUBSET = 10  # servers that one of many gateways prefers: each is then seen every few seconds
 FIRST_WORK, FIRST_PACE = 0.15, 0.5  # of the aim, a class's latency; of it, added by each request in work
@@ -58,6 +55,7 @@
     def __init__(self, settings: t.Settings, seed: int) -> None:
         super().__init__(settings, seed)
         self.cold = ColdBudget(settings, self.rng)
+        self.teller = wide.Teller(settings.gateways, settings.peer_intake)
         self.many, self.older_by = settings.gateways > NARROW, OLDER
         self.learn_slow = LEARN_MANY if self.many else LEARN
         self.pace, self.slow, self.retries_left = FIRST_PACE, 1.0, RETRY_STORE
@@ -107,15 +105,12 @@
         return self.accounts[customer]
 
     def join_ring(self, a: Account, customer: int) -> None:
-        """Neighbours: the two adjacent members; in a wide ring those at doubling distances, a tree."""
+        """Neighbours: the two adjacent members; in a wide ring those on the ways of its news."""
         place, a.wide = (self.s.me - a.first) % self.s.gateways, a.spread > NARROW
         a.inside, a.level = place < a.spread, a.plan.burst / (1 if a.wide else a.spread)
-        if a.inside and a.wide:
-            at = (place - customer) % a.spread  # turned by customer, so collecting points differ
-            steps = [1 << k for k in range(a.spread.bit_length()) if at % (2 << k) == 0]
-            places = [at + step for step in steps if at + step < a.spread] + ([at & (at - 1)] if at else [])
-            members = [(a.first + (customer + p) % a.spread) % self.s.gateways for p in places]
-            a.upward, a.edges = members[-1] if at else None, {m: Edge() for m in members}
+        if a.wide:
+            a.upward, ends = wide.ways(self.s.me, customer, a.first, a.spread, self.s.gateways)
+            a.edges = {m: Edge() for m in ends}
         elif a.inside and a.spread > 1:
             ring = sorted((a.first + i) % self.s.gateways for i in range(a.spread))
             after = ring[(ring.index(self.s.me) + 1) % a.spread]
@@ -143,10 +138,6 @@
         usual = sum(self.work.values()) / len(self.work) if self.work else FIRST_WORK * self.s.classes[0].aim
         return a.plan.rate or CAP_USE * a.plan.max_open / (usual * max(1.0, self.slow))
 
-    def memory(self, a: Account) -> float:
-        """Seconds that a wide ring's demand is averaged over: longer than it takes members to hear of it."""
-        return max(RING_MEMORY, 2 * TELL_EVERY * a.spread)
-
     def refill(self, a: Account) -> float:
         """Bring bucket, ceiling and demand up to now; returns the slice."""
         share, past, a.at = self.part * (1.0 if a.wide else self.slice(a)), self.now - a.at, self.now
@@ -154,7 +145,7 @@
             return share
         level = min(a.plan.burst * share, a.level + a.plan.rate * share * past)
         a.level = level if self.members is None or self.members.sure(a) else max(a.level, level)
-        a.demand *= math.exp(-past / (self.memory(a) if a.wide else DEMAND_MEMORY))
+        a.demand *= math.exp(-past / (wide.RING_MEMORY if a.wide else DEMAND_MEMORY))
         part = 1 / a.spread if a.inside else 0.0
         a.ceiling = min(a.plan.ceiling_burst * part, a.ceiling + a.plan.ceiling_rate * part * past)
         return share
@@ -166,7 +157,7 @@
 
     def ask(self, a: Account, units: float) -> None:
         """A wide ring's demand, here or by another member's word; refused tries count too."""
-        a.demand, a.asked = a.demand + units / self.memory(a), a.asked + units
+        a.demand, a.asked = a.demand + units / wide.RING_MEMORY, a.asked + units
 
     def admits(self, a: Account, units: float, share: float) -> bool:
         """Inside the quota as far as this gateway can tell."""
@@ -443,23 +434,6 @@
         for peer, notes in due.items():
             self.greet(peer, notes)
 
-    def tell_ring(self) -> None:
-        """Pass on what wide rings asked and spent: upward soon, to all members only where it matters."""
-        due, news, self.untold = {}, self.untold, {}
-        for key, a in news.items():
-            self.refill(a)
-            tight = a.demand > TIGHT * self.rate(a) or a.level < AMPLE * a.plan.burst
-            scale = a.plan.burst or self.rate(a) * RING_MEMORY
-            for peer, edge in a.edges.items():
-                up, new = peer == a.upward, a.asked - edge.asked - edge.told
-                if new >= scale * (UP_STEP if up else TELL_STEP) and (up or tight):
-                    wait = edge.told_at - self.now + (TRADE_EVERY if up else TELL_EVERY * a.spread)
-                    if wait > 0:
-                        self.later[key] = self.now + wait
-                        continue
-                    due.setdefault(peer, []).append(self.totals(key, a, edge))
-        self.tell_totals(due)
-
     def take_note(self, peer: int, number: int, note: peers.Note) -> list[peers.Note]:
         """The higher-numbered end decides a trade and replies with the running totals."""
         a = self.account(note.customer, note.plan, note.first, note.spread)
--- a/corkdeal/experiment/measure.py
+++ b/corkdeal/experiment/measure.py
@@ -8,13 +8,14 @@
 from collections import Counter, defaultdict
 from typing import Any
 
-from ..brain import NARROW, TELL_STEP, UP_STEP
+from ..brain import NARROW
 from ..recovery.ledgers import WIDE_FILL
 from ..standin import clients
 
 FULL_FOR, FULL_PART = 2.0, 0.98  # s for which service must be at that part of before to be full
 IN_HAND = 1.5  # s before the first fault in which a request may still be caught by it
 STEP = 0.1  # s between looks
+WIDE_UNTOLD = 0.25  # of a wide ring's bursts, what members may spend before all have heard of it
 PEAK_S = 0.25  # s, the span that a peak is looked for in
 
 
@@ -25,7 +26,7 @@
     """
     if spread <= NARROW:
         return 2 * burst + burst / spread * starts
-    return (UP_STEP + TELL_STEP) * spread * burst + WIDE_FILL * burst * starts
+    return WIDE_UNTOLD * spread * burst + WIDE_FILL * burst * starts
 
 
 def inside(asks: list[clients.Ask], who: dict[int, clients.Customer]) -> set[int]:
--- a/corkdeal/peers.py
+++ b/corkdeal/peers.py
@@ -9,12 +9,13 @@
 
 from .interface import Settings
 
-VERSION, TOTALS_VERSION, MESSAGE_BYTES = 3, 4, 256
+VERSION, TOTALS_VERSION, MESSAGE_BYTES = 3, 5, 256  # totals went other ways up to version 4
 HEAD, ENTRY = struct.Struct("<BIII"), struct.Struct("<IBBHHeeehf")
 TOTALS_HEAD, TOTALS_ENTRY = struct.Struct("<BI"), struct.Struct("<IBBHHHH")
 TOTALS_ENTRIES = (MESSAGE_BYTES - TOTALS_HEAD.size) // TOTALS_ENTRY.size
 ENTRIES = (MESSAGE_BYTES - HEAD.size) // ENTRY.size
 SLICE_UNIT = 30000  # slices travel as whole parts of this
+FULL_PART = 0.5  # of the tier, a set above which shares its trees: messages then hold other sets' news too
 PARTS = 8  # of a unit, in running totals
 TOTAL_WRAP = 65536 / PARTS
 HALF, SHORT = 60000.0, 32000  # largest values that the packed fields take
@@ -47,10 +48,16 @@
     spent: float
 
 
+def shares_trees(spread: int, gateways: int) -> bool:
+    """Whether a wide set's totals go by the tier's own trees, so that others than members pass them on."""
+    return spread > FULL_PART * gateways
+
+
 def fits(note: Note | Totals, peer: int, s: Settings) -> bool:
     """Whether settings and set allow such a note between that peer and this gateway."""
     return (note.plan < len(s.plans) and note.first < s.gateways and 2 <= note.spread <= s.gateways
-            and all((member - note.first) % s.gateways < note.spread for member in (peer, s.me)))
+            and (isinstance(note, Totals) and shares_trees(note.spread, s.gateways)
+                 or all((member - note.first) % s.gateways < note.spread for member in (peer, s.me))))
 
 
 def pack(born: int, yours: int, number: int, notes: list[Note]) -> list[bytes]:
--- a/corkdeal/plumbing.py
+++ b/corkdeal/plumbing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter
 from typing import TYPE_CHECKING
@@ -11,7 +12,7 @@
 from .state import Account, Edge, Pair, Pending, Server
 
 if TYPE_CHECKING:  # imported where an earlier life's knowledge is used; without one it costs nothing
-    from . import memory
+    from . import memory, wide
     from .membership.members import Members
     from .recovery.ledgers import Ledgers
     from .recovery.opening import AfterPause, AfterStart
@@ -40,6 +41,7 @@
         self.untold: dict[int, Account] = {}  # accounts of wide rings with news
         self.work: dict[tuple[int, int], float] = {}  # usual latency by class and size
         self.later: dict[int, float] = {}  # customers whose news may be told from then on
+        self.later_at = math.inf  # when the first of them may be told
         self.traded_at = self.asked_list = 0.0
         self.older_by = 0  # ms
         self.held: list[int] = []  # requests with no server yet
@@ -56,6 +58,7 @@
         self.peer_born: dict[int, int] = {}
         self.peer_heard: dict[int, float] = {}
         self.corrected: dict[int, float] = {}  # peers last told of a later start of theirs
+        self.teller: wide.Teller | None = None  # of wide rings
         self.out: list[t.Action] = []
         self.causes: Counter[str] = Counter()  # why requests were given up on, inside and beyond their quotas
         self.handlers = {
@@ -74,8 +77,10 @@
         for event in events:
             if handler := self.handlers.get(type(event)):
                 handler(event)
+        if self.later and now >= self.later_at:
+            self.recall_news()
         if self.untold:
-            self.tell_ring()
+            self.tell_totals(self.teller.due(self))
         wait = None if self.ticking else self.next_scan()
         if wait is not None:
             self.ticking = True
@@ -143,6 +148,11 @@
             if self.members is not None:
                 self.members.step()
 
+    def put_off(self, key: int, until: float) -> None:
+        """A customer's news has to wait until then."""
+        self.later[key] = until
+        self.later_at = min(self.later_at, until)
+
     def recall_news(self) -> None:
         """Bring back the news that had to wait."""
         ready = [key for key, at in self.later.items() if at <= self.now]
@@ -150,6 +160,7 @@
             del self.later[key]
             if key in self.accounts:
                 self.untold[key] = self.accounts[key]
+        self.later_at = min(self.later.values(), default=math.inf)
 
     def on_stream(self, e: t.StreamStarted) -> None:
         """A started stream belongs to the client: no deadline, no further answer.
@@ -281,6 +292,7 @@
             self.ask(a, asked)
             self.spend(a, spent)
             a.told_at, self.untold[n.customer] = self.now, a
+            a.from_above = a.from_above or peer == a.upward
 
     def older(self, born: int) -> bool:
         """Whether a peer of that start knows what was spent before this gateway's time."""
--- a/corkdeal/state.py
+++ b/corkdeal/state.py
@@ -93,6 +93,7 @@
     wide: bool = False  # whether the ring is too wide for trades between adjacent gateways
     upward: int | None = None  # in a wide ring, the neighbour on the way to the ring's collecting point
     edges: dict[int, Edge] = field(default_factory=dict)
+    from_above: bool = False  # whether there is news from that one, to be passed on
     asked: float = 0.0  # units asked and spent so far, here and as told by all edges
     spent: float = 0.0
 
