Carry out a reload asked for while the program starts, and start no watch twice

Cause, by reading main() and Program: SIGHUP was ignored from the first line to the handler's (about 0.3 s of imports), and the configuration is read in between, so a reload asked for then was lost for good: the gateway went on watching a discovery that had moved. Before that line SIGHUP ended the process. And a reload while a new life waits for what the life before it gives (Succession.ask, up to 1 s) began a watch, which opened the port before the start; the start then put the configuration's old list over the new one and began the same watch again: requests went to a backend told as draining. Waiting for a line of the log has an end now, 20 s.

--- a/corkdeal/net/__main__.py
+++ b/corkdeal/net/__main__.py
@@ -15,7 +15,8 @@
 
 def main() -> int:
     """Serve until a planned end; bad configuration ends it with a line a fault."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is a gateway; its default ends it
+    early: list[int] = []  # reloads asked for after the file was read, maybe, and before there is a gateway
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))  # its default ends the process
     options, path = None, os.environ.get(OPTIONS, "")
     try:
         given = config.load()
@@ -35,6 +36,8 @@
     for each in (signal.SIGTERM, signal.SIGINT):
         signal.signal(each, lambda *_: reactor.callFromThread(program.gateway.drain))
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(program.reload))
+    if early:  # looked at last: from the line before on the other handler has them
+        reactor.callFromThread(program.reload)
     reactor.callWhenRunning(program.start)
     gc.collect()
     gc.freeze()  # what is loaded by now stays; later collections need not look at it
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -169,8 +169,11 @@
     def watch_again(self) -> None:
         """Begin the watch anew, with the whole list."""
         self.watch.stop()
-        self.watch = self.watch_at(self.config.discovery)
-        self.watch.run()
+        if self.begun:
+            self.watch = self.watch_at(self.config.discovery)
+            self.watch.run()
+        else:  # the start is yet to come, and begins it
+            self.watch = self.watch_at(self.config.discovery, self.config.known)
 
     def reload(self) -> None:
         """SIGHUP: check the file whole, then move the watch; RPCs, channels and subchannels go on."""
--- a/tests/net_world.py
+++ b/tests/net_world.py
@@ -290,11 +290,16 @@
         self.process.stdout.close()
 
     def line(self, text):
-        """Wait for a line of the log."""
-        for line in self.process.stdout:
-            self.lines.append(line)
-            if text in line:
-                return line
+        """Wait for a line of the log; a program that does not write it is ended, so that the test does."""
+        guard = threading.Timer(PATIENCE, self.process.kill)
+        guard.start()
+        try:
+            for line in self.process.stdout:
+                self.lines.append(line)
+                if text in line:
+                    return line
+        finally:
+            guard.cancel()
         self.fail(f"ended without {text!r}: {self.lines}")
 
     def client(self):
--- a/tests/test_net_moments.py
+++ b/tests/test_net_moments.py
@@ -5,15 +5,21 @@
 """
 
 import copy
+import json
+import os
 import pathlib
 import signal
 import socket
+import subprocess
+import tempfile
 import time
+import tomllib
 import unittest
 
+from corkdeal.knowledge import lives, store
 from corkdeal.net.resp import command
 
-from .net_world import PATIENCE, SETTINGS, Program, served
+from .net_world import PATIENCE, ROOT, SETTINGS, Program, World, served
 
 BUSY, GONE = b"BUSY", b"ERR failed"
 
@@ -34,6 +40,11 @@
         """Start with long aims."""
         self.start(config={"settings": slow_settings()}, **more)
 
+    def seen(self, text):
+        """Wait for a line of the log that may have come already."""
+        if not any(text in line for line in self.lines):
+            self.line(text)
+
     def freeze(self):
         """Stop the program where it waits for something to happen, and return once it has stopped."""
         self.until("S")
@@ -286,6 +297,95 @@
         self.assertEqual(self.process.wait(PATIENCE), 0)
 
 
+class EarlySignals(Moments):
+    """A reload is asked for before there is a gateway that could be told."""
+
+    def run_program(self):
+        """Its configuration comes by a pipe, and changes once it is under way there."""
+        self.other = World()
+        self.addCleanup(self.other.close)
+        first = self.path.read_text()
+        self.path.unlink()
+        os.mkfifo(self.path)
+        super().run_program()
+        with open(self.path, "w") as pipe:  # returns as the program opens its end
+            pipe.write(first)
+            pipe.flush()
+            self.path.unlink()
+            self.config["discovery"] = f"127.0.0.1:{self.other.http.server_port}"
+            self.path.write_text(json.dumps(self.config))  # what a reload finds
+            self.process.send_signal(signal.SIGHUP)
+            self.handled(signal.SIGHUP)
+
+    def handled(self, number):
+        """Wait until the kernel has handed the signal to the program, or the program ignores it."""
+        status = pathlib.Path(f"/proc/{self.process.pid}/status")
+        while True:
+            masks = dict(line.split(":\t") for line in status.read_text().splitlines() if ":\t" in line)
+            if not any(int(masks[name], 16) >> (number - 1) & 1 for name in ("SigPnd", "ShdPnd")):
+                return
+            time.sleep(0.001)
+
+    def test_it_is_carried_out_once_there_is_one(self):
+        self.start(a={})
+        self.seen("reloaded")
+        self.assertIsNotNone(self.other.calls.get(timeout=PATIENCE))
+
+
+class Deployed(unittest.TestCase):
+    """What stands before the program in deploy/balancer.toml."""
+
+    def test_a_reload_asked_for_before_python_runs_ends_nothing(self):
+        run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+        with tempfile.TemporaryDirectory() as folder:
+            stub = pathlib.Path(folder, "env")  # stands where `run` begins to become the program
+            stub.write_text("#!/bin/sh\nkill -HUP $$\necho lives\n")
+            stub.chmod(0o755)
+            done = subprocess.run(["/bin/sh", "-c", run], capture_output=True, text=True, timeout=PATIENCE,
+                                  cwd=ROOT, env={"PATH": f"{folder}:/usr/bin:/bin"})
+        self.assertEqual((done.returncode, done.stdout), (0, "lives\n"))
+
+
+class ReloadBeforeTheStart(Moments):
+    """SIGHUP comes while a new life waits for what the life before it gives; that one never does."""
+
+    build = ("-O",)
+
+    def run_program(self):
+        """Another life holds its lock, and the signal comes while this one waits for it."""
+        folder = store.folder_of(os.path.join(self.folder.name, "corkdeal-lives"), "n0")
+        self.lives = lives.Lives(folder)
+        self.lives.join()
+        self.addCleanup(self.lives.close)
+        super().run_program()
+        while self.lives.successor() is None:  # it has asked by then
+            time.sleep(0.001)
+        self.freeze()
+        self.process.send_signal(signal.SIGHUP)
+        self.process.send_signal(signal.SIGCONT)
+        self.line("reloaded")
+
+    def test_one_watch_runs_and_an_old_list_does_not_come_after_a_new_one(self):
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        self.fds = (listener.fileno(),)
+        self.more_env = {"RELAY_INHERITED_FD": str(listener.fileno())}
+        for name in "ab":
+            self.world.add(name)
+        known = {"revision": 1, "complete": True, "members": [dict(self.world.backends["a"].entry)]}
+        self.world.backends["a"].entry["phase"] = "Terminating"
+        self.world.revision = 2
+        self.start(known=known, config={"listen": f"127.0.0.1:{listener.getsockname()[1]}"})
+        self.seen("handover_none")  # it has started without that life
+        client = self.client()
+        for rid in range(4):
+            self.ask(client, rid=rid)
+            asked = self.world.next()
+            self.assertEqual(asked.backend.name, "b")
+            asked.conn.send(served())
+            self.assertEqual(client.read(), [b"v"])
+
+
 class Idle(Moments):
     """A channel is not closed over bytes that have come and were not read yet."""
 
