Serve clients while the peers' or the operators' address is still another process's

Only upgrades tried again. Change: both are told once in the log and tried again every 0.1 s, as the clients' address is; a life that has handed its ledgers on does not open its port again by a try still under way. Measured: two tests with the address held fail on the revision before (the start's traceback, nothing served) and pass now.

--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -74,6 +74,7 @@
         self.begun = self.started = self.draining = self.ending = False
         self.last_at = math.inf  # by when all has its answer, once it drains
         self.peer_port: Any = None
+        self.mute = False  # whether another life of this gateway speaks with the peers for good
         self.recovery: Recovery | None = None  # of what may be relied on after a pause, where that is on
         self.membership: Membership | None = None  # who of the tier is there, where that is on
         self.succession: Succession | None = None  # of lives, where the listening socket is handed down
@@ -108,30 +109,45 @@
             self.backends.take(known, t.ListKind.CACHED)
         else:
             self.feed(t.ServerList(t.ListKind.CACHED))
-        if self.config.ops:
-            from . import ops
-            self.ops_port = ops.listen(self.reactor, self.config.ops, self.operators)
+        self.hear_operators()
         self.hear()
         self.watch.run()
         self.reactor.callLater(START_WAIT, self.open)
         self.reactor.callLater(SWEEP_EVERY, self.sweep)
         self.reactor.callLater(REPORT_EVERY, self.report)
 
+    def hear_operators(self) -> None:
+        """Open the operations address, if there is one; while another process has it, clients are served."""
+        if not self.config.ops or self.ending:
+            return
+        from . import ops
+        try:
+            self.ops_port = ops.listen(self.reactor, self.config.ops, self.operators)
+        except CannotListenError as error:
+            self.taken("ops_port_taken", self.config.ops, error)
+            self.reactor.callLater(SWEEP_EVERY, self.hear_operators)
+
+    def taken(self, what: str, at: tuple[str, int], error: CannotListenError) -> None:
+        """Another process has an address of this one's: told once, and tried again until it is free."""
+        if not invariants.counts[what]:
+            logs.event("listen_failed", at=text_of(at), error=str(error.socketError))
+        count(what)
+
     def hear(self) -> None:
-        """Take the peers' datagrams. Beside the process it replaces, that one has the port until it ends."""
-        if not self.config.peer_listen or (self.succession is not None and self.succession.waits):
+        """Take the peers' datagrams. A process that this one replaces has the port until it ends."""
+        waits = self.succession is not None and self.succession.waits
+        if not self.config.peer_listen or self.mute or waits:
             return
         host, port = self.config.peer_listen
         try:
             self.peer_port = self.reactor.listenUDP(port, self.peering, interface=host, maxPacketSize=1024)
-        except CannotListenError:
-            if self.config.inherited is None:
-                raise
-            count("peer_port_taken")
+        except CannotListenError as error:
+            self.taken("peer_port_taken", self.config.peer_listen, error)
             self.reactor.callLater(SWEEP_EVERY, self.hear)
 
     def be_silent(self) -> None:
         """Speak with peers no more: another life of this gateway does."""
+        self.mute = True
         if self.peer_port is not None:
             port, self.peer_port = self.peer_port, None
             port.stopListening()
@@ -148,9 +164,7 @@
                 else:
                     self.port = channel.listen(self.reactor, self.config.listen, self)
             except CannotListenError as error:
-                if not invariants.counts["listen_failed"]:
-                    logs.event("listen_failed", at=text_of(self.config.listen), error=str(error.socketError))
-                count("listen_failed")
+                self.taken("listen_failed", self.config.listen, error)
                 self.opening = self.opening or self.reactor.callLater(SWEEP_EVERY, self.open_again)
                 return
             self.started = True
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -331,6 +331,37 @@
         self.line("listen_failed")
         self.holder.close()
 
+    def held(self, kind):
+        """An address that is in use."""
+        self.holder = socket.socket(type=kind)
+        self.addCleanup(self.holder.close)
+        self.holder.bind(("127.0.0.1", 0))
+        if kind == socket.SOCK_STREAM:
+            self.holder.listen()
+        return f"127.0.0.1:{self.holder.getsockname()[1]}"
+
+    def test_clients_are_served_and_peers_heard_once_their_port_is_free(self):
+        at = self.held(socket.SOCK_DGRAM)
+        peers = [at, f"127.0.0.1:{self.peer.getsockname()[1]}"]
+        self.start(config={"peer_listen": at, "peers": peers}, a={})
+        client = self.client()
+        words = self.words(b"look", more=b",spread=2")
+        words[3] = words[3].replace(b",spread=1", b"")
+        client.send(command(*words))
+        self.world.next().conn.send(served())
+        self.assertEqual(client.read(), [b"v"])
+        _, sender = self.peer.recvfrom(2048)  # what it tells comes from the port that it has by now
+        self.assertEqual(f"{sender[0]}:{sender[1]}", at)
+
+    def test_an_operators_address_in_use_keeps_no_client_out(self):
+        at = self.held(socket.SOCK_STREAM)
+        self.start(config={"ops": at}, a={})
+        self.line("ops_listening")
+        client = self.client()
+        self.ask(client)
+        self.world.next().conn.send(served())
+        self.assertEqual(client.read(), [b"v"])
+
     def test_an_address_in_use_is_told_and_had_once_it_is_free(self):
         self.holder = socket.create_server(("127.0.0.1", 0))
         at = f"127.0.0.1:{self.holder.getsockname()[1]}"
