Test the judge of a fleet's quotas against decisions that let in all, and none

Need: a judge that can't fail proves nothing. Change: tables of what is inside and beyond, decisions that know no quota are seen, as are lost messages and killed gateways.

--- /dev/null
+++ b/tests/test_quotas.py
@@ -0,0 +1,90 @@
+"""The judge of a fleet's quotas: it must see what the decisions do, whoever makes them."""
+
+import pytest
+
+from corkdeal import interface as t
+from corkdeal.experiment import quotas
+
+RATE = t.Plan(rate=2.0, burst=6.0, price=2.0, over_cost=0.5)
+OPEN = t.Plan(max_open=2, over_cost=1.0)
+
+
+def customer(plan=0, number=0, **more):
+    return quotas.Customer(number, plan, 0, 2, quotas.CALM, 1.0, **more)
+
+
+@pytest.mark.parametrize("plan, sent, inside, beyond", [
+    (RATE, [(0, 2), (0, 2), (0, 2)], 6, 0),  # the store holds six
+    (RATE, [(0, 4), (0, 4), (0, 2)], 6, 4),  # what is beyond takes nothing from it
+    (RATE, [(0, 6), (1, 2), (1, 1)], 8, 1),  # it fills by two a second
+    (RATE, [(0, 6), (9, 6), (9, 1)], 12, 1),  # and never holds more than at the start
+    (OPEN, [(0, 1), (0, 1), (0, 1)], 2, 1),  # two out at the most
+])
+def test_what_is_inside_and_beyond_a_quota(plan, sent, inside, beyond):
+    judge, c = quotas.Judge((plan,)), customer(store=plan.burst)
+    for at, units in sent:
+        judge.sent(c, at, units)
+    assert (judge.inside[0], judge.beyond[0]) == (inside, beyond)
+
+
+def test_an_attempt_that_is_over_frees_its_place():
+    judge, c = quotas.Judge((OPEN,)), customer()
+    for _ in range(3):
+        judge.sent(c, 0.0, 1)
+        c.out -= 1
+    assert (judge.inside[0], judge.beyond[0]) == (3, 0)
+
+
+def test_the_price_is_that_of_the_worth_offered():
+    judge, c = quotas.Judge((RATE,)), customer(store=6.0, ideal=6.0)
+    for _ in range(4):  # one gateway that sees all lets in three of these
+        judge.offer(c, 0.0, 2)
+        judge.sent(c, 0.0, 2)
+    assert judge.table() == {"inside": 1.0, "over_quota": round(2 * 0.5 / 6, 4), "beyond": [round(2 / 6, 3)]}
+
+
+class LetsAllIn(quotas.Gateway):
+    """Decisions that know no quota."""
+
+    def admits(self, a, units, share):
+        return True
+
+
+class LetsNoneIn(quotas.Gateway):
+    """Decisions that refuse all."""
+
+    def admits(self, a, units, share):
+        return False
+
+
+def fleet(**more):
+    return quotas.Fleet((RATE,), (30,), gateways=12, seconds=6.0, **more)
+
+
+def test_bad_decisions_are_seen():
+    makers = (quotas.Gateway, LetsAllIn, LetsNoneIn)
+    usual, all_in, none = (quotas.World(fleet(), 1, make).run() for make in makers)
+    assert all_in["over_quota"] > 3 * usual["over_quota"]
+    assert none["inside"] == none["over_quota"] == 0.0 < usual["inside"]
+
+
+def test_a_seed_gives_the_same_play_again_and_another_seed_another():
+    first, again, other = (quotas.World(fleet(), seed).run() for seed in (1, 1, 2))
+    assert first == again != other
+
+
+def test_messages_over_a_receivers_intake_are_not_taken():
+    free, full = (quotas.World(fleet(loss=0.0, intake=intake), 1) for intake in (1000.0, 2.0))
+    assert free.run()["not_taken"] == 0.0 < full.run()["not_taken"]
+    assert max(full.got.values()) > 2.0 * (6 + 1)  # more came to one than it takes in
+
+
+def test_a_gateway_that_is_killed_is_asked_nothing_until_it_is_back():
+    world = quotas.World(fleet(), 1)
+    world.run(2.0)
+    world.kill(3)
+    before = world.got[3]
+    world.run(4.0)
+    assert 3 not in world.gateways and world.first_tries > 0
+    world.start(3)
+    assert world.run()["inside"] > 0.5 and world.got[3] >= before and 3 in world.gateways
