Have both processes of an upgrade follow what either was told of a backend by hand

Cause, by reading the hand-over: Handheld.load runs once, as a process is made. And each wrote the file from its own memory, so what the other had been told was lost.

--- a/corkdeal/logs/events.py
+++ b/corkdeal/logs/events.py
@@ -20,6 +20,7 @@
     "held_out": (INFO, "a backend is held out by hand, whatever the list says: server, new"),
     "held_out_unreadable": (WARN, "the held-out file can't be read; nothing is held out: file, error"),
     "held_out_not_saved": (WARN, "the held-out file can't be written; the next lacks it: file, error"),
+    "held_elsewhere": (INFO, "another life of this gateway was told of a backend by hand: server, out"),
     "let_back": (INFO, "a backend held out by hand is let back, as a cold one: server, new"),
     "handover_begun": (INFO, "a part of the quota is here: life, before, accounts, part"),
     "handover_none": (WARN, "the life before gave nothing in time; serving without: life, before"),
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -260,10 +260,11 @@
         self.reactor.stop()
 
     def sweep(self) -> None:
-        """Retire idle channels and subchannels now and then."""
+        """Retire idle channels and subchannels now and then; see what another life was told by hand."""
+        self.reactor.callLater(SWEEP_EVERY, self.sweep)  # first: whatever fails here, the next look comes
+        self.operators.follow()
         self.pool.sweep()
         self.descriptors.sweep()
-        self.reactor.callLater(SWEEP_EVERY, self.sweep)
 
     def report(self) -> None:
         """Log the counts where they changed."""
--- a/corkdeal/net/handheld.py
+++ b/corkdeal/net/handheld.py
@@ -4,6 +4,7 @@
 results say; one call back ends any number of calls out. What is held out is written to a small file in the
 process's temporary folder at each change (written whole beside it, then renamed over it), so that the next
 process of the same name, which shares that folder during an upgrade, holds the same ones out from its start.
+While both live either may be called, so each looks whether the file is still the one that it knows.
 A backend that comes back is told to the decisions as just started, so it is eased in as a cold one.
 """
 
@@ -31,9 +32,11 @@
         self.path = os.path.join(folder or tempfile.gettempdir(), f"corkdeal-{safe}.held-out.json")
         self.out: set[str] = set()
         self.back: dict[str, float] = {}  # id: when it came back, on the decisions' clock
+        self.known: tuple[int, int] | None = None  # which file was read or written last: a new one each time
 
     def load(self) -> None:
         """What an earlier process of this name held out; a file that can't be read is counted and ignored."""
+        self.known = self.stamp()  # before it is read: what replaces it meanwhile is read again
         try:
             with open(self.path, "rb") as file:
                 raw = orjson.loads(file.read())
@@ -48,6 +51,22 @@
             count("held_out_unreadable")
             logs.event("held_out_unreadable", file=self.path, error=f"{type(error).__name__}: {error}"[:200])
 
+    def stamp(self) -> tuple[int, int] | None:
+        """Which file there is now; None while there is none."""
+        try:
+            seen = os.stat(self.path)
+        except OSError:
+            return None
+        return seen.st_ino, seen.st_mtime_ns
+
+    def follow(self) -> set[str]:
+        """What another life of this gateway was told; the ids that it changed something for."""
+        if self.stamp() in (self.known, None):
+            return set()
+        out, back = self.out, self.back
+        self.load()
+        return (out ^ self.out) | {k for k, v in self.back.items() if back.get(k) != v}
+
     def save(self) -> None:
         """Hand the set on; a folder that can't be written costs the next process the set, not this one."""
         part = f"{self.path}.{os.getpid()}"
@@ -55,6 +74,7 @@
             with open(part, "wb") as file:
                 file.write(orjson.dumps({"format": FORMAT, "out": sorted(self.out), "back": self.back}))
             os.replace(part, self.path)
+            self.known = self.stamp()
         except OSError as error:
             count("held_out_not_saved")
             logs.event("held_out_not_saved", file=self.path, error=str(error)[:200])
--- a/corkdeal/net/operators.py
+++ b/corkdeal/net/operators.py
@@ -55,11 +55,18 @@
         logs.event("active")
         return True
 
+    def follow(self) -> None:
+        """Take on what operators told another life of this gateway, while both serve."""
+        for server in sorted(self.handheld.follow()) if self.handheld is not None else ():
+            logs.event("held_elsewhere", server=server, out=server in self.handheld.out)
+            self.backends.retell(server)
+
     def hold_out(self, server: str) -> bool | None:
         """Send that backend nothing new, whatever the list says; None for an id that nobody has."""
         assert self.handheld is not None
         if not self.backends.known(server):
             return None
+        self.follow()  # so that what is written holds all that was told
         new = self.handheld.enter(server)
         logs.event("held_out", server=server, new=new)
         self.backends.retell(server)
@@ -70,6 +77,7 @@
         assert self.handheld is not None
         if not self.backends.known(server):
             return None
+        self.follow()
         back = self.handheld.exit(server, self.gateway.now())
         logs.event("let_back", server=server, new=back)
         self.backends.retell(server)
--- a/tests/test_net_ops.py
+++ b/tests/test_net_ops.py
@@ -97,6 +97,19 @@
     assert lines == [("held_out_unreadable", other.path)]  # the line names the file
 
 
+def test_two_lives_follow_what_either_was_told(tmp_path):
+    old, new = (handheld.Handheld("n0", str(tmp_path)) for _ in range(2))
+    assert old.follow() == new.follow() == set()  # no file yet
+    old.enter("a")
+    assert (new.follow(), new.out, new.follow(), old.follow()) == ({"a"}, {"a"}, set(), set())
+    new.enter("b")
+    new.exit("a", 7.0)
+    assert (old.follow(), old.out, old.back) == ({"a", "b"}, {"b"}, {"a": 7.0})
+    with open(old.path, "wb") as file:  # damaged: what is held goes on
+        file.write(b"{")
+    assert (old.follow(), old.out) == (set(), {"b"})
+
+
 class Calling:
     """A program with an operations address, and calls of it."""
 
@@ -155,6 +168,30 @@
         self.assertEqual(self.call("PUT", "/maintenance/enter/b")[0], 200)  # so that a, cold, is the one left
         self.assertEqual({self.serve_one(client, rid) for rid in range(18, 22)}, {"a"})
 
+    def test_a_backend_held_out_at_the_old_process_gets_nothing_from_the_new_one(self):
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        self.fds = (listener.fileno(),)
+        self.more_env = {"RELAY_INHERITED_FD": str(listener.fileno())}
+        self.ops = free()
+        self.start(config={"ops": self.ops, "listen": f"127.0.0.1:{listener.getsockname()[1]}"}, a={}, b={})
+        old, at_old = self.process, self.ops
+        self.config["ops"] = self.ops = free()
+        self.path.write_text(json.dumps(self.config))
+        self.run_program()
+        self.line("serving ")  # the new one has read what was held out, and that was nothing
+        self.ops, at_new = at_old, self.ops
+        self.assertEqual(self.call("PUT", "/maintenance/enter/a")[0], 200)
+        old.kill()
+        old.wait()
+        old.stdout.close()
+        self.ops = at_new
+        self.line("held_elsewhere")
+        client = self.client()
+        self.assertEqual({self.serve_one(client, rid) for rid in range(6)}, {"b"})
+        self.assertEqual(self.call("GET", "/status/metrics")[1]["app_hosts_down"], 1)
+        self.assertEqual(self.call("PUT", "/maintenance/exit/a")[0], 200)  # and the call back may come here
+
     def test_standby_turns_ping_closes_idle_channels_and_active_brings_it_back(self):
         self.start_ops(a={})
         idle, busy = self.client(), self.client()
