--- a/corkdeal/net/subchannel.py
+++ b/corkdeal/net/subchannel.py
@@ -21,7 +21,7 @@
 from .rpc import RPC
 
 IDLE_PART = 0.8  # of the idle limit; a backend closes "at the latest" then, and a crossing send is a reset
-SETTLE = 0.01  # s that a connection rests after an answer: what comes behind it must not answer the next RPC
+SETTLE = 0.007  # s that a connection rests after an answer: what comes behind it must not answer the next RPC
 REPLY_STALL, REPLY_LATE = 0.1, 0.3  # s without another byte of an answer, and from its first to its last
 CONNECT_PART = 0.25  # of the shortest aim, after which a connection that is not up is given up
 
