--- a/benchmarks/departures.py
+++ b/benchmarks/departures.py
@@ -92,8 +92,10 @@
 
     async def run(self) -> dict[str, Any]:
         """Play it; the figures."""
-        models = [Model(f"s{i}", "north-hall", cell=i % 2, cores=8, queue=4000, fall_multiple=1000.0)
-                  for i in range(SERVERS)]
+        models = [
+            Model(f"s{i}", "north-hall", cell=i % 2, cores=8, queue=4000, fall_multiple=1000.0)
+            for i in range(SERVERS)
+        ]
         servers = [Server(m, work_drawer(self.chance, 0.15, 0.5), self.seen) for m in models]
         for each in servers:
             await each.start()
@@ -124,11 +126,19 @@
             many = 25 if self.chance.random() < 0.013 else 1
             for _ in range(min(many, self.departures - rid)):
                 rid += 1
-                asked.append(asyncio.create_task(self.client(
-                    self.chance.choice(gateways), rid, self.chance.uniform(0.0, STAY), rid % 3 == 0)))
+                asked.append(
+                    asyncio.create_task(
+                        self.client(
+                            self.chance.choice(gateways), rid, self.chance.uniform(0.0, STAY), rid % 3 == 0
+                        )
+                    )
+                )
             if rid % 5 == 0:
-                asked.append(asyncio.create_task(self.client(
-                    self.chance.choice(gateways), rid + (1 << 32), None, False)))
+                asked.append(
+                    asyncio.create_task(
+                        self.client(self.chance.choice(gateways), rid + (1 << 32), None, False)
+                    )
+                )
             await asyncio.sleep(EVERY)
         await asyncio.wait(asked, timeout=10)
         await asyncio.sleep(1.0)  # what would be sent on late still has time to be
@@ -137,10 +147,14 @@
         """What became of them."""
         waits = [max(ats) - self.left[rid] for rid, ats in self.arrived.items() if rid in self.left]
         late = [w for w in waits if w > LATE]
-        return {"departures": len(self.left), "reached_a_server": len(waits), "late": len(late),
-                "late_share": round(len(late) / max(1, len(self.left)), 4),
-                "latest_s": round(max(waits, default=0.0), 3),
-                "answers_to_who_stayed": dict(self.stayed)}
+        return {
+            "departures": len(self.left),
+            "reached_a_server": len(waits),
+            "late": len(late),
+            "late_share": round(len(late) / max(1, len(self.left)), 4),
+            "latest_s": round(max(waits, default=0.0), 3),
+            "answers_to_who_stayed": dict(self.stayed),
+        }
 
 
 def main() -> None:
--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -56,8 +56,12 @@
         spent = {id(first): cost(first), id(second): cost(second)}
         ratios.append(spent[id(on)] / spent[id(off)])
     low, _, high = statistics.quantiles(ratios, n=4)
-    seen = {"pairs": PAIRS, "requests": REQUESTS, "on_to_off": round(statistics.median(ratios), 3),
-            "quartiles": [round(low, 3), round(high, 3)]}
+    seen = {
+        "pairs": PAIRS,
+        "requests": REQUESTS,
+        "on_to_off": round(statistics.median(ratios), 3),
+        "quartiles": [round(low, 3), round(high, 3)],
+    }
     if given.out:
         pathlib.Path(given.out).write_text(json.dumps(seen, indent=1) + "\n")
     print(json.dumps(seen))
--- a/benchmarks/upgrade.py
+++ b/benchmarks/upgrade.py
@@ -193,8 +193,11 @@
         took = time.perf_counter() - began
         longest, whole = max(longest, took), whole + took
     assert len(new.accounts) == accounts
-    return {"made_ms": round(1000 * made, 1), "taken_longest_ms": round(1000 * longest, 1),
-            "taken_ms": round(1000 * whole, 1)}
+    return {
+        "made_ms": round(1000 * made, 1),
+        "taken_longest_ms": round(1000 * longest, 1),
+        "taken_ms": round(1000 * whole, 1),
+    }
 
 
 def main() -> int:
--- a/corkdeal/brain.py
+++ b/corkdeal/brain.py
@@ -62,8 +62,7 @@
         self.pace, self.slow, self.retries_left = FIRST_PACE, 1.0, RETRY_STORE
 
     def remember(self, known: Memory) -> None:
-        """Begin with what an earlier life learned; servers and accounts get their records when they are met.
-        """
+        """Begin with what an earlier run learned; servers and accounts get their records when met."""
         self.earlier = known
         fleet = known.fleet(self.now, {c.name: FIRST_WORK * c.aim for c in self.s.classes})
         self.take_fleet(fleet)
@@ -125,8 +124,12 @@
         if self.members is not None:
             return self.members.slice(a)
         base, lost = a.base(), a.heir_of
-        if self.s.may_tell_peers and lost is not None and self.silent(lost) and (
-                self.s.gateways == 2 or any(not self.silent(p) for p in self.peer_heard if p != lost)):
+        if (
+            self.s.may_tell_peers
+            and lost is not None
+            and self.silent(lost)
+            and (self.s.gateways == 2 or any(not self.silent(p) for p in self.peer_heard if p != lost))
+        ):
             base += 1 / a.spread if a.pairs[lost].told_slice is None else a.pairs[lost].told_slice
         return min(1.0, base)
 
@@ -167,8 +170,11 @@
             room = a.level - units if plan.rate else plan.max_open - a.open - 1
             fill = a.level / plan.burst if plan.rate else AMPLE
             return room >= 0 and lot < self.rate(a) * min(MOST_OVER, fill / AMPLE)
-        credit = sum(max(0.0, p.told_level) for peer, p in a.pairs.items()
-                     if self.now - p.told_at < TOLD_FRESH and not self.silent(peer))
+        credit = sum(
+            max(0.0, p.told_level)
+            for peer, p in a.pairs.items()
+            if self.now - p.told_at < TOLD_FRESH and not self.silent(peer)
+        )
         # Credit until slice follows demand; harm is bounded by what two neighbours take from one level.
         if plan.rate and a.level < min(units, plan.burst * share) and a.level + credit < units:
             return False
@@ -188,7 +194,8 @@
         elif not e.is_retry:  # a refused client's return is no new demand and must not drag supply
             a.demand += units / DEMAND_MEMORY
         req = self.requests[e.id] = Pending(
-            e, self.s.classes[e.cls], a, units, self.now - e.waited, self.now + e.patience)
+            e, self.s.classes[e.cls], a, units, self.now - e.waited, self.now + e.patience
+        )
         self.set_deadline(e.id, e.patience - 2 * self.s.tick)
         req.inside = self.part > 0 and self.admits(a, e.units, share)
         worth_it = req.inside or a.plan.over_worth > a.plan.over_cost
@@ -202,8 +209,7 @@
         server = None if self.blind else self.choose(req)
         left = min(req.came + req.cls.aim, req.deadline) - self.now
         if server is None:
-            return self.held.append(req.e.id) if left > req.cls.aim / 2 else self.answer(
-                req, why="no_server")
+            return self.held.append(req.e.id) if left > req.cls.aim / 2 else self.answer(req, why="no_server")
         stale = not server.out and self.now - server.sent_at > LOOK_AGAIN  # a bad record must not lock it out
         bound = (LATE if req.inside else LATE_BEYOND) * left
         if req.attempts == 0 and not stale and self.expected(server, req) * self.warmth(server) > bound:
@@ -231,8 +237,11 @@
         del self.requests[req.e.id]
         self.causes[f"{'inside' if req.inside else 'beyond'}_{why}"] += 1
         advice = min(wait or self.typical(req), self.s.max_advised_wait) if self.s.may_advise_wait else 0.0
-        harmless = (req.ran_at is None and req.server is None) or req.cls.effect is t.Effect.SAFE or (
-            req.cls.effect is t.Effect.KEYED and req.cls.group is t.Group.ALL and req.server is None)
+        harmless = (
+            (req.ran_at is None and req.server is None)
+            or req.cls.effect is t.Effect.SAFE
+            or (req.cls.effect is t.Effect.KEYED and req.cls.group is t.Group.ALL and req.server is None)
+        )
         self.out.append(t.Refuse(req.e.id, advice) if harmless else t.Fail(req.e.id))
         if req.server and self.s.may_cancel:
             self.out.append(t.Cancel(req.e.id, req.attempts - 1))
@@ -258,9 +267,12 @@
 
     def may_retry(self, req: Pending) -> bool:
         """Effect class, attempt limit, time and the retry budget (against storms) all allow it."""
-        return ((req.ran_at is None or req.cls.effect is not t.Effect.UNSAFE)
-                and req.attempts < self.s.max_attempts and self.retries_left >= 1
-                and self.now + self.typical(req) < req.deadline)
+        return (
+            (req.ran_at is None or req.cls.effect is not t.Effect.UNSAFE)
+            and req.attempts < self.s.max_attempts
+            and self.retries_left >= 1
+            and self.now + self.typical(req) < req.deadline
+        )
 
     def scan(self) -> None:
         """What is looked at again and again: list, held requests, silent servers, trades."""
@@ -327,8 +339,12 @@
             home = req.ran_on.entry
             if self.now + 2 * self.s.tick > req.ran_at + req.cls.window:
                 return []
-            usable = [s for s in usable if req.cls.group is t.Group.ALL or (
-                s.entry.zone == home.zone if req.cls.group is t.Group.ZONE else s.entry.cell == home.cell)]
+            usable = [
+                s
+                for s in usable
+                if req.cls.group is t.Group.ALL
+                or (s.entry.zone == home.zone if req.cls.group is t.Group.ZONE else s.entry.cell == home.cell)
+            ]
         fresh = [s for s in usable if s not in req.tried] or usable
         fresh = [s for s in fresh if self.now >= s.shut.get(req.e.cls, (0.0, 0.0))[1]] or fresh
         if sum(s.ejected for s in self.mine) > MOST_EJECTED * len(self.mine):
@@ -388,8 +404,12 @@
             self.eject(server)
         elif self.now - sent_at <= max(LOST_PART * req.cls.aim, LOST_TIMES * self.expected(server, req)):
             return  # later than that its connection has fallen silent, whatever others get from that server
-        req.cancelled = (req.cls.effect is not t.Effect.UNSAFE and self.s.may_cancel
-                         and self.may_retry(req) and self.now + usual < req.came + req.cls.aim)
+        req.cancelled = (
+            req.cls.effect is not t.Effect.UNSAFE
+            and self.s.may_cancel
+            and self.may_retry(req)
+            and self.now + usual < req.came + req.cls.aim
+        )
         self.out += [t.Cancel(rid, req.attempts - 1)] if req.cancelled else []
 
     def short(self, a: Account, share: float, level: float) -> bool:
--- a/corkdeal/cli/__init__.py
+++ b/corkdeal/cli/__init__.py
@@ -41,9 +41,12 @@
             formatter.write_dl([(name, said) for name, (_, said) in sorted(COMMANDS.items())])
 
 
-@click.command(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"]},
-               epilog="Shell completion: eval \"$(_CORKDEAL_COMPLETE=bash_source corkdeal)\" (or zsh_source, "
-                      "fish_source).")
+@click.command(
+    cls=Lazy,
+    context_settings={"help_option_names": ["-h", "--help"]},
+    epilog='Shell completion: eval "$(_CORKDEAL_COMPLETE=bash_source corkdeal)" (or zsh_source, '
+    "fish_source).",
+)
 def main() -> None:
     """A rate-limiting gateway, and what its operators need round it."""
 
@@ -52,6 +55,7 @@
     """Print a result, as one JSON document or for a person."""
     if as_json:
         import orjson
+
         click.echo(orjson.dumps(data, default=str, option=orjson.OPT_INDENT_2 | orjson.OPT_NON_STR_KEYS))
     else:
         click.echo(text)
--- a/corkdeal/cli/check.py
+++ b/corkdeal/cli/check.py
@@ -13,6 +13,7 @@
 def faults_of_config(path: str) -> list[dict[str, Any]]:
     """What is wrong with a configuration; its reader stops at the first."""
     from ..net import config
+
     try:
         config.load({"RELAY_CONFIG": path})
     except config.ConfigError as error:
@@ -24,11 +25,14 @@
 def faults_of_options(path: str) -> tuple[list[dict[str, Any]], Any]:
     """All that is wrong with the operators' file, or its records."""
     from ..options import OptionsError, load
+
     try:
         return [], load(path)
     except OptionsError as error:
-        return [{"file": path, "line": f.line, "column": f.column, "key": f.node, "fault": f.text}
-                for f in error.faults], None
+        return [
+            {"file": path, "line": f.line, "column": f.column, "key": f.node, "fault": f.text}
+            for f in error.faults
+        ], None
 
 
 @click.command("check")
@@ -49,10 +53,17 @@
         wrong, made = faults_of_options(options)
         faults += wrong
         if made is not None:
-            on = {f.name: dataclasses.asdict(value) for f in dataclasses.fields(made)
-                  if (value := getattr(made, f.name)) is not None}
-    lines = [f"{f['file']}:{f['line']}:{f['column']}: {f['key']}: {f['fault']}" if f["line"]
-             else f"{f['file']}: {f['key']}: {f['fault']}" for f in faults]
+            on = {
+                f.name: dataclasses.asdict(value)
+                for f in dataclasses.fields(made)
+                if (value := getattr(made, f.name)) is not None
+            }
+    lines = [
+        f"{f['file']}:{f['line']}:{f['column']}: {f['key']}: {f['fault']}"
+        if f["line"]
+        else f"{f['file']}: {f['key']}: {f['fault']}"
+        for f in faults
+    ]
     good = f"good; switched on: {', '.join(sorted(on)) or 'nothing'}"
     tell({"faults": faults, "on": on}, as_json, "\n".join(lines) if faults else good)
     ctx.exit(1 if faults else 0)
--- a/corkdeal/cli/experiment.py
+++ b/corkdeal/cli/experiment.py
@@ -135,12 +135,30 @@
 
 
 @command.command("members")
-@click.option("--size", "sizes", type=click.IntRange(3, 1000), multiple=True, default=(3, 10, 20),
-              show_default=True, help="Gateways; several times.")
-@click.option("--hours", type=click.FloatRange(0.01, 1000), default=100.0, show_default=True,
-              help="Member-hours for each row of false alarms.")
-@click.option("--explore", "depth", type=click.IntRange(0, 5), default=0, show_default=True,
-              help="Instead, play all orders of so many cuts and pauses.")
+@click.option(
+    "--size",
+    "sizes",
+    type=click.IntRange(3, 1000),
+    multiple=True,
+    default=(3, 10, 20),
+    show_default=True,
+    help="Gateways; several times.",
+)
+@click.option(
+    "--hours",
+    type=click.FloatRange(0.01, 1000),
+    default=100.0,
+    show_default=True,
+    help="Member-hours for each row of false alarms.",
+)
+@click.option(
+    "--explore",
+    "depth",
+    type=click.IntRange(0, 5),
+    default=0,
+    show_default=True,
+    help="Instead, play all orders of so many cuts and pauses.",
+)
 @click.option("--together", type=click.IntRange(1, 16), default=4, show_default=True, help="Processes.")
 def members(sizes: tuple[int, ...], hours: float, depth: int, together: int) -> None:
     """How soon and how rightly deaths are seen, in virtual time; or whether a slice is ever spent twice."""
--- a/corkdeal/cli/halls.py
+++ b/corkdeal/cli/halls.py
@@ -12,6 +12,7 @@
 def halls_in(path: str) -> Any:
     """The `halls` node of a file; a click error where it can't be used or there is none."""
     from ..options import OptionsError, load
+
     try:
         made = load(path)
     except OptionsError as error:
@@ -21,8 +22,14 @@
     return made.halls
 
 
-options_option = click.option("--options", type=click.Path(), envvar="CORKDEAL_OPTIONS", show_envvar=True,
-                              required=True, help="The operators' file.")
+options_option = click.option(
+    "--options",
+    type=click.Path(),
+    envvar="CORKDEAL_OPTIONS",
+    show_envvar=True,
+    required=True,
+    help="The operators' file.",
+)
 
 
 @click.group("halls")
--- a/corkdeal/cli/knowledge.py
+++ b/corkdeal/cli/knowledge.py
@@ -65,10 +65,10 @@
     return os.path.join(path, names[-1])
 
 
-def described(path: str, generation: int, form: int, document: Document,
-              extra: float = 0.0) -> dict[str, Any]:
-    """All that a person may ask of a document, with ages and weights as they count now, or `extra` s later.
-    """
+def described(
+    path: str, generation: int, form: int, document: Document, extra: float = 0.0
+) -> dict[str, Any]:
+    """All that a person may ask of a document, with ages and weights as they count now, or in `extra` s."""
     head = document.head
     age, odd = clock.age(head.clock, clock.read_clocks())
     age += extra
@@ -78,22 +78,64 @@
 
     accounts = merge.accounts_of(document)
     return {
-        "file": path, "generation": generation, "format": form, "name": head.name, "program": head.program,
-        "age": number(age), "odd": list(odd), "clean": head.clean, "unseen": head.every,
+        "file": path,
+        "generation": generation,
+        "format": form,
+        "name": head.name,
+        "program": head.program,
+        "age": number(age),
+        "odd": list(odd),
+        "clean": head.clean,
+        "unseen": head.every,
         "ledgers_hold": age < ageing.LEDGERS_HORIZON and head.fleet.born > 0,
-        "fleet": {"pace": head.fleet.pace, "pace_weight": ageing.WORK.weight(age), "slow": head.fleet.slow,
-                  "slow_weight": ageing.FLEET.weight(age), "retries": head.fleet.retries},
-        "work": [{"class": w.cls, "size": w.size, "seconds": w.seconds, "age": number(since(w.at)),
-                  "weight": ageing.WORK.weight(since(w.at))} for w in head.fleet.work],
-        "servers": [{
-            "server": s.server, "started": s.started, "age": number(since(s.at)), "slow": s.slow,
-            "weight": ageing.SLOWNESS.weight(since(s.at)), "failures": s.failures, "ejected": s.ejected,
-            "failures_weight": ageing.FAILURES.weight(since(s.at)), "address": s.address,
-            "shut": [x.cls for x in s.shut]} for s in head.servers],
-        "accounts": [{"customer": f"{key:016x}", "plan": a.plan, "first": a.first, "spread": a.spread,
-                      "age": number(since(a.at)), "level": a.level, "demand": a.demand, "open": a.open,
-                      "ledgers": len(a.pairs) + len(a.edges), "counts": since(a.at) < ageing.ACCOUNT_HORIZON}
-                     for key, a in sorted(accounts.items())]}
+        "fleet": {
+            "pace": head.fleet.pace,
+            "pace_weight": ageing.WORK.weight(age),
+            "slow": head.fleet.slow,
+            "slow_weight": ageing.FLEET.weight(age),
+            "retries": head.fleet.retries,
+        },
+        "work": [
+            {
+                "class": w.cls,
+                "size": w.size,
+                "seconds": w.seconds,
+                "age": number(since(w.at)),
+                "weight": ageing.WORK.weight(since(w.at)),
+            }
+            for w in head.fleet.work
+        ],
+        "servers": [
+            {
+                "server": s.server,
+                "started": s.started,
+                "age": number(since(s.at)),
+                "slow": s.slow,
+                "weight": ageing.SLOWNESS.weight(since(s.at)),
+                "failures": s.failures,
+                "ejected": s.ejected,
+                "failures_weight": ageing.FAILURES.weight(since(s.at)),
+                "address": s.address,
+                "shut": [x.cls for x in s.shut],
+            }
+            for s in head.servers
+        ],
+        "accounts": [
+            {
+                "customer": f"{key:016x}",
+                "plan": a.plan,
+                "first": a.first,
+                "spread": a.spread,
+                "age": number(since(a.at)),
+                "level": a.level,
+                "demand": a.demand,
+                "open": a.open,
+                "ledgers": len(a.pairs) + len(a.edges),
+                "counts": since(a.at) < ageing.ACCOUNT_HORIZON,
+            }
+            for key, a in sorted(accounts.items())
+        ],
+    }
 
 
 def number(value: float) -> float | None:
@@ -123,8 +165,21 @@
 
 def as_text(said: dict[str, Any]) -> str:
     """A document for a person."""
-    lines = [f"{key}: {shown(said[key])}" for key in (
-        "file", "generation", "format", "name", "program", "age", "odd", "clean", "unseen", "ledgers_hold")]
+    lines = [
+        f"{key}: {shown(said[key])}"
+        for key in (
+            "file",
+            "generation",
+            "format",
+            "name",
+            "program",
+            "age",
+            "odd",
+            "clean",
+            "unseen",
+            "ledgers_hold",
+        )
+    ]
     lines.append("fleet: " + ", ".join(f"{key} {shown(value)}" for key, value in said["fleet"].items()))
     for key in ("work", "servers", "accounts"):
         lines += [f"{key} ({len(said[key])}):", table(said[key])]
@@ -191,8 +246,12 @@
 @command.command("merge")
 @click.argument("target", type=click.Path(exists=True))
 @click.argument("others", type=click.Path(exists=True), nargs=-1, required=True)
-@click.option("--out", type=click.Path(), required=True,
-              help="A new file: in a stopped gateway's folder, the name of the generation after its newest.")
+@click.option(
+    "--out",
+    type=click.Path(),
+    required=True,
+    help="A new file: in a stopped gateway's folder, the name of the generation after its newest.",
+)
 @json_option
 def merge_files(target: str, others: tuple[str, ...], out: str, as_json: bool) -> None:
     """Take the knowledge of lost machines into another's, record by record, by age.
--- a/corkdeal/cli/serve.py
+++ b/corkdeal/cli/serve.py
@@ -9,10 +9,21 @@
 
 
 @click.command("serve")
-@click.option("--config", type=click.Path(), envvar="RELAY_CONFIG", show_envvar=True, required=True,
-              help="The gateway's configuration, JSON.")
-@click.option("--options", type=click.Path(), envvar="CORKDEAL_OPTIONS", show_envvar=True,
-              help="The operators' own file, KDL; without it all that it could switch on is off.")
+@click.option(
+    "--config",
+    type=click.Path(),
+    envvar="RELAY_CONFIG",
+    show_envvar=True,
+    required=True,
+    help="The gateway's configuration, JSON.",
+)
+@click.option(
+    "--options",
+    type=click.Path(),
+    envvar="CORKDEAL_OPTIONS",
+    show_envvar=True,
+    help="The operators' own file, KDL; without it all that it could switch on is off.",
+)
 @click.option("--debug", is_flag=True, help="Assert invariants instead of counting broken ones.")
 def command(config: str, options: str | None, debug: bool) -> None:
     """Serve until SIGTERM or SIGINT; SIGHUP reads both files again, each whole or not at all."""
--- a/corkdeal/experiment/fleet.py
+++ b/corkdeal/experiment/fleet.py
@@ -22,7 +22,7 @@
     """When a `figures` line was written, in s, and its pairs; None for any other line."""
     if "figures" not in text:
         return None
-    if "{" in text and (raw := text[text.index("{"):].strip()).endswith("}"):
+    if "{" in text and (raw := text[text.index("{") :].strip()).endswith("}"):
         try:
             pairs = json.loads(raw)
         except ValueError:
@@ -67,27 +67,53 @@
                 last = values
     seconds = sorted(done)
     begin = seconds[0] if seconds and seconds[0] > 1000 else 0  # of a day's clock
-    rows = [{"second": s - begin, "gateways": max((len(v) for v in states[s].values()), default=0),
-             **{k: round(v, 2) for k, v in sorted(done[s].items()) if v},
-             **{k: round(sum(v.values()) / len(v), 3) for k, v in sorted(states[s].items())}}
-            for s in seconds]
+    rows = [
+        {
+            "second": s - begin,
+            "gateways": max((len(v) for v in states[s].values()), default=0),
+            **{k: round(v, 2) for k, v in sorted(done[s].items()) if v},
+            **{k: round(sum(v.values()) / len(v), 3) for k, v in sorted(states[s].items())},
+        }
+        for s in seconds
+    ]
     total: Counter[str] = Counter()
     for each in done.values():
         total.update(each)
     return {"logs": len(logs), "rows": rows, "total": {k: round(v, 2) for k, v in sorted(total.items()) if v}}
 
 
-COLUMNS = ("gateways", "starts", "asked", "success", "busy", "failure", "backend_calls", "beyond_quota",
-           "inside_late", "beyond_late", "inside_deadline", "inside_tried", "inside_opening", "opened",
-           "told", "heard", "now_slow", "now_ejected", "now_servers", "now_demand")
+COLUMNS = (
+    "gateways",
+    "starts",
+    "asked",
+    "success",
+    "busy",
+    "failure",
+    "backend_calls",
+    "beyond_quota",
+    "inside_late",
+    "beyond_late",
+    "inside_deadline",
+    "inside_tried",
+    "inside_opening",
+    "opened",
+    "told",
+    "heard",
+    "now_slow",
+    "now_ejected",
+    "now_servers",
+    "now_demand",
+)
 
 
 def table(seen: dict[str, Any]) -> str:
     """Rows for a page; columns in which nothing stands are left out."""
     names = [c for c in COLUMNS if any(row.get(c) for row in seen["rows"])]
     lines = ["| s | " + " | ".join(names) + " |", "| --- |" + " --- |" * len(names)]
-    lines += ["| " + " | ".join([str(row["second"]), *(f"{row.get(c, 0):g}" for c in names)]) + " |"
-              for row in seen["rows"]]
+    lines += [
+        "| " + " | ".join([str(row["second"]), *(f"{row.get(c, 0):g}" for c in names)]) + " |"
+        for row in seen["rows"]
+    ]
     return "\n".join(lines)
 
 
--- a/corkdeal/experiment/members.py
+++ b/corkdeal/experiment/members.py
@@ -120,8 +120,11 @@
 
     def gone(self, member: int) -> int:
         """How many of the others hold it for gone."""
-        seen = [g.members.table.members.get(member) for me, g in self.up.items()
-                if me != member and me not in self.still]
+        seen = [
+            g.members.table.members.get(member)
+            for me, g in self.up.items()
+            if me != member and me not in self.still
+        ]
         return sum(m is not None and m.state == GONE for m in seen)
 
     def twice(self) -> list[str]:
@@ -132,8 +135,11 @@
             for key, a in g.accounts.items():
                 if me in self.still or not a.pairs:
                     continue
-                heirs = [(i, h) for i, h in self.up.items() if i not in self.still and key in h.accounts
-                         and h.accounts[key].heir_of == me]
+                heirs = [
+                    (i, h)
+                    for i, h in self.up.items()
+                    if i not in self.still and key in h.accounts and h.accounts[key].heir_of == me
+                ]
                 for i, h in heirs:
                     h.now = self.now
                     if (part := g.members.part(a) + h.members.lends(h.accounts[key], me)) > 1 + 1e-9:
@@ -157,8 +163,14 @@
         world.start(member)
         world.run(SETTLE)
     took = [round(s, 2) for s in sorted(took)]
-    return {"gateways": gateways, "loss": loss, "deaths": dead, "known_s": took,
-            "median_s": round(statistics.median(took), 2), "most_s": took[-1]}
+    return {
+        "gateways": gateways,
+        "loss": loss,
+        "deaths": dead,
+        "known_s": took,
+        "median_s": round(statistics.median(took), 2),
+        "most_s": took[-1],
+    }
 
 
 def alarms(
@@ -189,12 +201,18 @@
                     before[i, j] = m.state == GONE
     spent = time.process_time() - cpu
     hours = gateways * seconds / 3600
-    return {"gateways": gateways, "loss": loss, "pauses": pauses, "member_hours": round(hours, 2),
-            "gone_wrongly": wrong.total(), "members_gone_wrongly": len(wrong),
-            "slices_unsure": sum(g.members.lapses for g in world.up.values()) - lapses,
-            "messages_per_gateway_s": round((world.sent - sent) / gateways / seconds, 1),
-            "bytes_per_gateway_s": round((world.bytes - total) / gateways / seconds),
-            "cpu_part_of_a_core": round(spent / gateways / seconds, 4)}
+    return {
+        "gateways": gateways,
+        "loss": loss,
+        "pauses": pauses,
+        "member_hours": round(hours, 2),
+        "gone_wrongly": wrong.total(),
+        "members_gone_wrongly": len(wrong),
+        "slices_unsure": sum(g.members.lapses for g in world.up.values()) - lapses,
+        "messages_per_gateway_s": round((world.sent - sent) / gateways / seconds, 1),
+        "bytes_per_gateway_s": round((world.bytes - total) / gateways / seconds),
+        "cpu_part_of_a_core": round(spent / gateways / seconds, 4),
+    }
 
 
 class Way(NamedTuple):
@@ -214,8 +232,12 @@
     for i in everyone:
         out = frozenset((i, j) for j in everyone if j != i)
         back = frozenset((j, i) for j in everyone if j != i)
-        made += [Way(f"{i} unheard", out), Way(f"{i} deaf", back), Way(f"{i} apart", out | back),
-                 Way(f"{i} still", frozenset(), (i,))]
+        made += [
+            Way(f"{i} unheard", out),
+            Way(f"{i} deaf", back),
+            Way(f"{i} apart", out | back),
+            Way(f"{i} still", frozenset(), (i,)),
+        ]
     return made
 
 
@@ -276,8 +298,14 @@
     with concurrent.futures.ProcessPoolExecutor(together) as pool:
         made = list(pool.map(part, [gateways] * count, [depth] * count, range(count)))
     faults = [f for _, found in made for f in found]
-    return {"gateways": gateways, "depth": depth, "ways": count, "orders": sum(n for n, _ in made),
-            "faults": len(faults), "first": faults[:10]}
+    return {
+        "gateways": gateways,
+        "depth": depth,
+        "ways": count,
+        "orders": sum(n for n, _ in made),
+        "faults": len(faults),
+        "first": faults[:10],
+    }
 
 
 def measure(sizes: list[int], hours: float, together: int) -> dict[str, Any]:
@@ -285,11 +313,16 @@
     import concurrent.futures
 
     with concurrent.futures.ProcessPoolExecutor(together) as pool:
-        killed = [pool.submit(deaths, n, 6, 1, loss, 3 if n > 100 else 10)
-                  for n in sizes for loss in (0.0, 0.12)]
-        quiet = [pool.submit(alarms, n, 6, seed, loss, pauses, 3600 * hours / n / 4)
-                 for n in sizes for loss in (0.0, 0.05, 0.12, 0.3) for pauses in (False, True)
-                 for seed in range(4 if n <= 20 else 1)]
+        killed = [
+            pool.submit(deaths, n, 6, 1, loss, 3 if n > 100 else 10) for n in sizes for loss in (0.0, 0.12)
+        ]
+        quiet = [
+            pool.submit(alarms, n, 6, seed, loss, pauses, 3600 * hours / n / 4)
+            for n in sizes
+            for loss in (0.0, 0.05, 0.12, 0.3)
+            for pauses in (False, True)
+            for seed in range(4 if n <= 20 else 1)
+        ]
         return {"deaths": [f.result() for f in killed], "alarms": added([f.result() for f in quiet])}
 
 
--- a/corkdeal/halls/loss.py
+++ b/corkdeal/halls/loss.py
@@ -130,8 +130,11 @@
 
     def failing(self, e: HallEvidence, now: float) -> list[tuple[Hashable, bool]]:
         """Servers that failed of late and since the hall's last answer, and whether they are silent."""
-        return [(server, silent) for server, (at, silent) in e.failed.items()
-                if at > e.answered_at and now - at < EVIDENCE_MOST]
+        return [
+            (server, silent)
+            for server, (at, silent) in e.failed.items()
+            if at > e.answered_at and now - at < EVIDENCE_MOST
+        ]
 
     def reachable(self, name: str, now: float) -> bool:
         """Whether another hall answered after this one failed; else the gateway is cut off itself, or all is
--- a/corkdeal/interface.py
+++ b/corkdeal/interface.py
@@ -232,8 +232,17 @@
     elapsed: float
 
 
-Event = (ServerList | Request | StreamStarted | Outcome | ClientGone | TimerDue | ProbeResult
-         | PeerMessage | CountTotal)
+Event = (
+    ServerList
+    | Request
+    | StreamStarted
+    | Outcome
+    | ClientGone
+    | TimerDue
+    | ProbeResult
+    | PeerMessage
+    | CountTotal
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -326,5 +335,6 @@
     lifetime: float
 
 
-Action = (Send | Refuse | Fail | Cancel | SetTimer | Probe | CloseIdle | Tell | Log | Subscribe
-          | FetchList | Count)
+Action = (
+    Send | Refuse | Fail | Cancel | SetTimer | Probe | CloseIdle | Tell | Log | Subscribe | FetchList | Count
+)
--- a/corkdeal/knowledge/ageing.py
+++ b/corkdeal/knowledge/ageing.py
@@ -67,7 +67,10 @@
     return m._replace(
         slow=towards(m.slow, 1.0, slowness),
         failures=math.ceil(failures) if failures >= LEAST_FAILURES else 0,
-        ejected=m.ejected and failing > 0, out_for=m.out_for * failing, shut=tuple(shut))
+        ejected=m.ejected and failing > 0,
+        out_for=m.out_for * failing,
+        shut=tuple(shut),
+    )
 
 
 def spent_unseen(m: AccountMemory, rate: float, share: float, quiet: float, unseen: float) -> float:
--- a/corkdeal/knowledge/collect.py
+++ b/corkdeal/knowledge/collect.py
@@ -34,8 +34,12 @@
         # entries of accounts that nobody had asked for when this document was begun
         self.rest: list[bytes] = []
 
-    def steps(self, now: Callable[[], float], clock: Callable[[], Reading], tick: Callable[[], float],
-              ) -> Iterator[None]:
+    def steps(
+        self,
+        now: Callable[[], float],
+        clock: Callable[[], Reading],
+        tick: Callable[[], float],
+    ) -> Iterator[None]:
         """Bring the packed accounts up to date; yields whenever `tick` says that `TURN` has passed."""
         # Taken first and written first: one that is asked for meanwhile may stand twice, and the later
         # counts.
@@ -79,8 +83,7 @@
             while batch := list(islice(rest, PAGE)):
                 yield page(batch, len(batch))
 
-    def head(self, now: float, clock: Reading, every: float, clean: bool,
-             addresses: dict[str, str]) -> Head:
+    def head(self, now: float, clock: Reading, every: float, clean: bool, addresses: dict[str, str]) -> Head:
         """All but the accounts, as it stands."""
         d, shift = self.decisions, clock.boot - now
         servers: list[ServerMemory] = []
--- a/corkdeal/knowledge/document.py
+++ b/corkdeal/knowledge/document.py
@@ -45,8 +45,11 @@
 
     def raw_accounts(self) -> dict[int, msgspec.Raw]:
         """All accounts by customer, still in their bytes; of one that stands twice the later."""
-        return self.accounts[0] if len(self.accounts) == 1 else {k: v for page in self.accounts
-                                                                  for k, v in page.items()}
+        return (
+            self.accounts[0]
+            if len(self.accounts) == 1
+            else {k: v for page in self.accounts for k, v in page.items()}
+        )
 
 
 _document = msgspec.msgpack.Decoder(Document)
--- a/corkdeal/knowledge/envelope.py
+++ b/corkdeal/knowledge/envelope.py
@@ -73,7 +73,7 @@
         raise Damaged("byte 0: no file of knowledge")
     view = memoryview(data)
     check = blake3(view[:DIGEST_AT])
-    check.update(view[HEADER.size:])
+    check.update(view[HEADER.size :])
     if check.digest() != digest:
         raise Damaged(f"byte {DIGEST_AT}: the checksum does not fit; it was cut short, changed or mixed")
     if head_size < HEADER.size or head_size + size != len(data):
--- a/corkdeal/knowledge/files.py
+++ b/corkdeal/knowledge/files.py
@@ -68,7 +68,7 @@
         for part in parts:
             view = memoryview(part)
             while view:
-                view = view[os.write(file, view[:PIECE]):]
+                view = view[os.write(file, view[:PIECE]) :]
 
     def sync(self, file: int) -> None:
         """Return once its content outlives a crash."""
--- a/corkdeal/knowledge/keeper.py
+++ b/corkdeal/knowledge/keeper.py
@@ -60,10 +60,21 @@
 class Keeper:
     """One gateway's knowledge; `gateway` is the program's on its sockets."""
 
-    def __init__(self, reactor: Any, gateway: Any, options: KnowledgeOptions, counts: Counter[str],
-                 opener: Callable[..., Store] = Store) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        gateway: Any,
+        options: KnowledgeOptions,
+        counts: Counter[str],
+        opener: Callable[..., Store] = Store,
+    ) -> None:
         self.reactor, self.gateway, self.options, self.counts, self.opener = (
-            reactor, gateway, options, counts, opener)
+            reactor,
+            gateway,
+            options,
+            counts,
+            opener,
+        )
         self.worker = Worker()
         self.folder = folder_of(options.path, gateway.config.name)
         self.store = opener(self.folder, options.generations)
@@ -112,16 +123,29 @@
         age, odd = clock.age(document.head.clock, clock.read_clocks())
         self.counts.update(odd)
         pool = self.gateway.pool
-        recall = Recall(document, age, self.gateway.now(), self.gateway.settings,
-                        lambda name: address_text(pool.addresses.get(name)), self.counts)
+        recall = Recall(
+            document,
+            age,
+            self.gateway.now(),
+            self.gateway.settings,
+            lambda name: address_text(pool.addresses.get(name)),
+            self.counts,
+        )
         if recall.useless:
             self.counts["knowledge_useless"] += 1
             return logs.event("knowledge_useless", file=loaded.file, age=shown(age), odd=",".join(odd))
         self.collector.recall = recall
         self.gateway.decisions.remember(recall)
-        logs.event("knowledge_loaded", file=loaded.file, format=loaded.format, age=shown(age),
-                   servers=len(recall.servers), accounts=len(recall.raw), resumes=recall.resumes(),
-                   odd=",".join(odd))
+        logs.event(
+            "knowledge_loaded",
+            file=loaded.file,
+            format=loaded.format,
+            age=shown(age),
+            servers=len(recall.servers),
+            accounts=len(recall.raw),
+            resumes=recall.resumes(),
+            odd=",".join(odd),
+        )
 
     # While it runs
 
@@ -172,8 +196,13 @@
         """All but the accounts; what a write may take counts as unseen too."""
         pool = self.gateway.pool
         addresses = {name: address_text(at) for name, at in pool.addresses.items()}
-        return self.collector.head(self.gateway.now(), clock.read_clocks(),
-                                   self.options.every + min(self.took, SLOW_MOST), clean, addresses)
+        return self.collector.head(
+            self.gateway.now(),
+            clock.read_clocks(),
+            self.options.every + min(self.took, SLOW_MOST),
+            clean,
+            addresses,
+        )
 
     def submit(self, head: Head, pages: list[bytes], done: Done) -> None:
         """Have the thread compress, seal and write it."""
--- a/corkdeal/knowledge/merge.py
+++ b/corkdeal/knowledge/merge.py
@@ -48,8 +48,9 @@
 
 def foreign_account(m: AccountMemory, shift: float) -> AccountMemory:
     """An account of another machine: its ledgers are that one's."""
-    return m._replace(at=m.at + shift, asked_at=m.asked_at + shift, open=0, asked=0.0, spent=0.0,
-                      pairs=(), edges=())
+    return m._replace(
+        at=m.at + shift, asked_at=m.asked_at + shift, open=0, asked=0.0, spent=0.0, pairs=(), edges=()
+    )
 
 
 def accounts_of(document: Document) -> dict[int, AccountMemory]:
@@ -81,7 +82,8 @@
             merged[m.server] = merged[m.server]._replace(address=m.address)
     fleet = target.head.fleet._replace(work=tuple(sorted(newest(work).values())))
     head = msgspec.structs.replace(
-        target.head, fleet=fleet, servers=tuple(sorted(merged.values())), clean=clean, every=every)
+        target.head, fleet=fleet, servers=tuple(sorted(merged.values())), clean=clean, every=every
+    )
     records = {key: msgspec.Raw(pack_account(m)) for key, m in sorted(newest(accounts).items())}
     return Document(head, [records])
 
@@ -89,11 +91,15 @@
 def older(document: Document, seconds: float) -> Document:
     """The same document as if it had been written that much earlier; for trying out what age does."""
     clock = document.head.clock._replace(
-        wall=document.head.clock.wall - seconds, boot=document.head.clock.boot - seconds)
+        wall=document.head.clock.wall - seconds, boot=document.head.clock.boot - seconds
+    )
     fleet: FleetMemory = document.head.fleet._replace(
-        work=tuple(w._replace(at=w.at - seconds) for w in document.head.fleet.work))
+        work=tuple(w._replace(at=w.at - seconds) for w in document.head.fleet.work)
+    )
     servers = tuple(m._replace(at=m.at - seconds) for m in document.head.servers)
-    accounts = {key: msgspec.Raw(pack_account(m._replace(at=m.at - seconds, asked_at=m.asked_at - seconds)))
-                for key, m in accounts_of(document).items()}
+    accounts = {
+        key: msgspec.Raw(pack_account(m._replace(at=m.at - seconds, asked_at=m.asked_at - seconds)))
+        for key, m in accounts_of(document).items()
+    }
     head = msgspec.structs.replace(document.head, clock=clock, fleet=fleet, servers=servers)
     return Document(head, [accounts])
--- a/corkdeal/knowledge/migrate.py
+++ b/corkdeal/knowledge/migrate.py
@@ -33,17 +33,32 @@
 
 
 def one_to_two(old: dict[str, Any]) -> dict[str, Any]:
-    """Wall times become times of a boot clock that stood at 0 when the file was written; no boot id is known.
-    """
+    """Turn wall times into those of a boot clock that was 0 at the writing; no boot id is known."""
     wall = old["wall"]
     return {
-        "name": old["name"], "clock": {"wall": wall, "boot": 0.0, "boot_id": ""}, "interval": 1.0,
+        "name": old["name"],
+        "clock": {"wall": wall, "boot": 0.0, "boot_id": ""},
+        "interval": 1.0,
         "servers": [{**s, "at": s["at"] - wall, "shut": []} for s in old["servers"]],
-        "fleet": {"pace": old["pace"], "slow": old["slow"],
-                  "work": [[w["class"], w["size"], w["seconds"], 0.0] for w in old["work"]]},
-        "accounts": {int(a["customer"]): {
-            "plan": a["plan"], "first": a["first"], "spread": a["spread"], "at": a["at"] - wall,
-            "level": a["level"], "demand": a["demand"], "open": 0, "pairs": []} for a in old["accounts"]}}
+        "fleet": {
+            "pace": old["pace"],
+            "slow": old["slow"],
+            "work": [[w["class"], w["size"], w["seconds"], 0.0] for w in old["work"]],
+        },
+        "accounts": {
+            int(a["customer"]): {
+                "plan": a["plan"],
+                "first": a["first"],
+                "spread": a["spread"],
+                "at": a["at"] - wall,
+                "level": a["level"],
+                "demand": a["demand"],
+                "open": 0,
+                "pairs": [],
+            }
+            for a in old["accounts"]
+        },
+    }
 
 
 def two_to_three(old: dict[str, Any]) -> dict[str, Any]:
@@ -52,14 +67,48 @@
     work = [[*w[:3], clock["boot"]] for w in fleet["work"]]
     return {
         "head": {
-            "name": old["name"], "program": "format 2", "every": old["interval"], "clean": False,
+            "name": old["name"],
+            "program": "format 2",
+            "every": old["interval"],
+            "clean": False,
             "clock": [clock["wall"], clock["boot"], clock["boot_id"]],
             "fleet": [fleet["pace"], fleet["slow"], UNKNOWN_RETRIES, work, 0, 0, 0, 0, []],
-            "servers": [[s["id"], s["started"], s["at"], s["slow"], s["failures"], s["ejected"], s["out_for"],
-                         s["shut"], ""] for s in old["servers"]]},
-        "accounts": [{
-            customer: [a["plan"], a["first"], a["spread"], a["at"], a["at"], a["level"], 0.0, a["demand"],
-                       a["open"], 0.0, 0.0, [], []] for customer, a in old["accounts"].items()}]}
+            "servers": [
+                [
+                    s["id"],
+                    s["started"],
+                    s["at"],
+                    s["slow"],
+                    s["failures"],
+                    s["ejected"],
+                    s["out_for"],
+                    s["shut"],
+                    "",
+                ]
+                for s in old["servers"]
+            ],
+        },
+        "accounts": [
+            {
+                customer: [
+                    a["plan"],
+                    a["first"],
+                    a["spread"],
+                    a["at"],
+                    a["at"],
+                    a["level"],
+                    0.0,
+                    a["demand"],
+                    a["open"],
+                    0.0,
+                    0.0,
+                    [],
+                    [],
+                ]
+                for customer, a in old["accounts"].items()
+            }
+        ],
+    }
 
 
 READERS = {1: msgspec.json.decode, 2: lambda raw: msgspec.msgpack.decode(raw, strict=False)}
--- a/corkdeal/knowledge/recall.py
+++ b/corkdeal/knowledge/recall.py
@@ -28,11 +28,23 @@
 
     exact = False
 
-    def __init__(self, document: Document, age: float, now: float, settings: t.Settings,
-                 address_of: Callable[[str], str], counts: Counter[str]) -> None:
+    def __init__(
+        self,
+        document: Document,
+        age: float,
+        now: float,
+        settings: t.Settings,
+        address_of: Callable[[str], str],
+        counts: Counter[str],
+    ) -> None:
         """`age` is the document's in s, `now` the module's clock; `address_of` tells where a server is."""
         self.document, self.head, self.age, self.loaded_at, self.settings = (
-            document, document.head, age, now, settings)
+            document,
+            document.head,
+            age,
+            now,
+            settings,
+        )
         self.counts, self.address_of = counts, address_of
         self.classes = {c.name for c in settings.classes}
         self.plans = {p.name for p in settings.plans}
@@ -55,8 +67,12 @@
         tier.
         """
         f, s = self.head.fleet, self.settings
-        return (self.age < ageing.LEDGERS_HORIZON and f.born > 0 and f.round < ROUND_MOST
-                and (f.me, f.gateways) == (s.me, s.gateways))
+        return (
+            self.age < ageing.LEDGERS_HORIZON
+            and f.born > 0
+            and f.round < ROUND_MOST
+            and (f.me, f.gateways) == (s.me, s.gateways)
+        )
 
     def fleet(self, now: float, first_work: dict[str, float]) -> FleetMemory:
         """The fleet's record, each figure as far as it still counts."""
@@ -69,9 +85,12 @@
             elif weight and w.seconds > 0:
                 work.append(WorkMemory(w.cls, w.size, towards(w.seconds, first_work[w.cls], weight)))
         return f._replace(
-            pace=towards(f.pace, PACE, lasting), slow=towards(f.slow, 1.0, ageing.FLEET.weight(age)),
-            retries=towards(min(f.retries, RETRIES), RETRIES, ageing.RETRIES.weight(age)), work=tuple(work),
-            round=f.round + ROUND_LEAP)
+            pace=towards(f.pace, PACE, lasting),
+            slow=towards(f.slow, 1.0, ageing.FLEET.weight(age)),
+            retries=towards(min(f.retries, RETRIES), RETRIES, ageing.RETRIES.weight(age)),
+            work=tuple(work),
+            round=f.round + ROUND_LEAP,
+        )
 
     def server(self, entry: t.ServerEntry, now: float) -> ServerMemory | None:
         """The record of the process that this entry names; none for another process under the same id.
@@ -99,8 +118,9 @@
         self.counts["knowledge_server_used" if aged else "knowledge_server_too_old"] += 1
         return aged
 
-    def account(self, customer: int, plan: t.Plan, first: int, spread: int,
-                now: float) -> AccountMemory | None:
+    def account(
+        self, customer: int, plan: t.Plan, first: int, spread: int, now: float
+    ) -> AccountMemory | None:
         """The customer's account in the module's clock, its refill still to come.
 
         Another plan or another set of gateways makes it another account.
@@ -130,8 +150,12 @@
             share = 1.0 if m.edges else min(1.0, max(0.0, traded))
             level -= ageing.spent_unseen(m, plan.rate, share, self.head.clock.boot - m.at, self.head.every)
         return m._replace(
-            at=m.at + shift, asked_at=min(now, m.asked_at + shift), level=min(level, plan.burst),
-            demand=max(0.0, m.demand), pairs=tuple(p._replace(told_at=p.told_at + shift) for p in m.pairs))
+            at=m.at + shift,
+            asked_at=min(now, m.asked_at + shift),
+            level=min(level, plan.burst),
+            demand=max(0.0, m.demand),
+            pairs=tuple(p._replace(told_at=p.told_at + shift) for p in m.pairs),
+        )
 
     def accounts(self, now: float) -> Iterator[tuple[int, int, AccountMemory]]:
         """All accounts that still count, each with its customer and its plan's number."""
--- a/corkdeal/knowledge/store.py
+++ b/corkdeal/knowledge/store.py
@@ -54,8 +54,7 @@
 class Store:
     """One gateway's folder. All of it may block; it runs in a thread of its own."""
 
-    def __init__(self, folder: str, generations: int = 2,
-                 opener: Callable[[str], Files] = Files) -> None:
+    def __init__(self, folder: str, generations: int = 2, opener: Callable[[str], Files] = Files) -> None:
         self.folder, self.generations, self.opener = folder, generations, opener
         self.files: Files | None = None
         self.held: int | None = None
@@ -156,7 +155,7 @@
     def rotate(self) -> None:
         """Remove all but the newest whole generations; what is of a newer format stays."""
         assert self.files is not None
-        gone, self.kept = self.kept[:-self.generations], self.kept[-self.generations:]
+        gone, self.kept = self.kept[: -self.generations], self.kept[-self.generations :]
         for generation in gone:
             try:
                 if self.replaceable(generation):
--- a/corkdeal/logs/structured.py
+++ b/corkdeal/logs/structured.py
@@ -1,5 +1,4 @@
-"""Log lines by structlog: JSON for machines, logfmt for people. Imported only where the operators' file asks.
-"""
+"""Log lines by structlog: JSON for machines, logfmt for people. Imported only if the operators ask for it."""
 
 from __future__ import annotations
 
@@ -23,7 +22,8 @@
         return structlog.processors.JSONRenderer(lambda pairs, default, **_: orjson.dumps(pairs, default=str))
     logfmt = structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"], drop_missing=True)
     return lambda logger, method, pairs: logfmt(
-        logger, method, {key: readable(value) for key, value in pairs.items()}).encode()
+        logger, method, {key: readable(value) for key, value in pairs.items()}
+    ).encode()
 
 
 def readable(value: Any) -> Any:
@@ -35,9 +35,14 @@
     """Where lines go, for `logs.configure`; each line names the gateway."""
     logger = structlog.wrap_logger(
         structlog.BytesLogger(out or sys.stdout.buffer),
-        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
-                    renderer(form)],
-        wrapper_class=structlog.BoundLogger, context_class=dict, cache_logger_on_first_use=True,
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            renderer(form),
+        ],
+        wrapper_class=structlog.BoundLogger,
+        context_class=dict,
+        cache_logger_on_first_use=True,
     ).bind(gateway=name)
 
     def write(level: int, what: str, pairs: dict[str, Any]) -> None:
--- a/corkdeal/membership/beats.py
+++ b/corkdeal/membership/beats.py
@@ -58,7 +58,7 @@
     if size < 0 or size % ROW.size or len(payload) > MESSAGE_BYTES or payload[0] != VERSION:
         return None
     _, born, yours, beat, heard, ack, flags = HEAD.unpack_from(payload)
-    rows = tuple([Row(*values) for values in ROW.iter_unpack(payload[HEAD.size:])])
+    rows = tuple([Row(*values) for values in ROW.iter_unpack(payload[HEAD.size :])])
     known = all(NEWS <= r.kind <= GRANT and r.member < s.gateways and r.born and r.beat for r in rows)
     made = Beat(born, yours, beat, heard, ack, flags, rows)
     return made if known and born and beat and peer != s.me else None
--- a/corkdeal/membership/members.py
+++ b/corkdeal/membership/members.py
@@ -74,14 +74,21 @@
         for p in a.pairs:
             if now < until.get(p, 0.0):
                 return True
-        return not (a.pairs and self.leased) or self.trusts or self.old(a) or (
-            any(now < u for u in until.values())
-            and all(self.table.silence(p, now) > TAKE + LEASE or self.gone(p) for p in a.pairs))
+        return (
+            not (a.pairs and self.leased)
+            or self.trusts
+            or self.old(a)
+            or (
+                any(now < u for u in until.values())
+                and all(self.table.silence(p, now) > TAKE + LEASE or self.gone(p) for p in a.pairs)
+            )
+        )
 
     def old(self, a: Account) -> bool:
         """Whether a neighbour speaks, but not of this: a program before it, which takes after a second."""
         return any(
-            p not in self.table.members and p in self.d.peer_born and not self.d.silent(p) for p in a.pairs)
+            p not in self.table.members and p in self.d.peer_born and not self.d.silent(p) for p in a.pairs
+        )
 
     def lends(self, a: Account, member: int) -> float:
         """Which part of its silent predecessor's slice this gateway may spend."""
@@ -165,8 +172,15 @@
         lapsed = now >= self.leases.until.get(member, 0.0) and (member in self.d.neighbours or self.unheard())
         flags = LEAVING * self.left + PROMPT * (lapsed and bool(self.d.neighbours))
         news = self.table.rows(member, beats.ROWS - len(rows), self.chance)
-        beat = Beat(self.d.born, self.d.peer_born.get(member, 0), self.number, self.heard.get(member, 0), ack,
-                    flags, (*rows, *news))
+        beat = Beat(
+            self.d.born,
+            self.d.peer_born.get(member, 0),
+            self.number,
+            self.heard.get(member, 0),
+            ack,
+            flags,
+            (*rows, *news),
+        )
         if self.d.s.may_tell_peers:
             self.d.out.append(t.Tell(member, beats.pack(beat)))
 
@@ -277,19 +291,29 @@
                 seen[key] = self.sure(a)
                 if seen[key] != self.held.get(key, seen[key]):
                     self.lapses += not seen[key]
-                    self.said.append({"what": "slices_sure" if seen[key] else "slices_unsure",
-                                      "neighbours": ",".join(map(str, key))})
+                    self.said.append(
+                        {
+                            "what": "slices_sure" if seen[key] else "slices_unsure",
+                            "neighbours": ",".join(map(str, key)),
+                        }
+                    )
         self.held.update(seen)
 
     def report(self) -> None:
         """What is seen otherwise, for the log."""
         for c in self.table.changes:
-            self.said.append({"what": "member", "member": c.member, "state": c.state, "before": c.before,
-                              "why": c.why})
+            self.said.append(
+                {"what": "member", "member": c.member, "state": c.state, "before": c.before, "why": c.why}
+            )
         self.table.changes.clear()
 
     def figures(self) -> dict[str, int]:
         """How the tier is seen now."""
         states = [m.state for m in self.table.members.values()]
-        return {"now_members": len(states), "now_suspect": states.count(SUSPECT),
-                "now_gone": states.count(GONE), "now_taken": len(self.taken), "lapses": self.lapses}
+        return {
+            "now_members": len(states),
+            "now_suspect": states.count(SUSPECT),
+            "now_gone": states.count(GONE),
+            "now_taken": len(self.taken),
+            "lapses": self.lapses,
+        }
--- a/corkdeal/membership/table.py
+++ b/corkdeal/membership/table.py
@@ -119,8 +119,11 @@
         """Whether a member's silence is its own: nobody who might go on with it fell silent then."""
         one = self.members.get(member)
         since = now if one is None else one.at
-        return not any(m.state in (SUSPECT, GONE) and abs(m.at - since) < TOGETHER
-                       for number, m in self.members.items() if number != member)
+        return not any(
+            m.state in (SUSPECT, GONE) and abs(m.at - since) < TOGETHER
+            for number, m in self.members.items()
+            if number != member
+        )
 
     def woke(self, now: float) -> None:
         """This process stood still: silence says nothing up to now, and suspicions are withdrawn.
@@ -134,6 +137,9 @@
 
     def rows(self, skip: int, most: int, chance: random.Random) -> list[Row]:
         """What to tell a member, at random where it is more than fits: all get their turn."""
-        told = [Row(LEFT if m.state == AWAY else NEWS, number, m.born, m.beat)
-                for number, m in self.members.items() if m.state != GONE and number != skip]
+        told = [
+            Row(LEFT if m.state == AWAY else NEWS, number, m.born, m.beat)
+            for number, m in self.members.items()
+            if m.state != GONE and number != skip
+        ]
         return told if len(told) <= most else chance.sample(told, most)
--- a/corkdeal/memory.py
+++ b/corkdeal/memory.py
@@ -108,8 +108,7 @@
     exact: bool  # whether it comes from that life itself, and not from a store that may hold an older copy
 
     def fleet(self, now: float, first_work: dict[str, float]) -> FleetMemory:
-        """The fleet's record; `first_work` is what a class of that name takes where nothing is known, in s.
-        """
+        """The fleet's record; `first_work` is what a class of that name takes where nothing is known (s)."""
 
     def resumes(self) -> bool:
         """Whether the ledgers with peers may go on where they were."""
@@ -117,19 +116,32 @@
     def server(self, entry: t.ServerEntry, now: float) -> ServerMemory | None:
         """The record of the server that this line of the list names."""
 
-    def account(self, customer: int, plan: t.Plan, first: int, spread: int,
-                now: float) -> AccountMemory | None:
+    def account(
+        self, customer: int, plan: t.Plan, first: int, spread: int, now: float
+    ) -> AccountMemory | None:
         """The customer's account, with what may have been spent unseen taken off its level."""
 
 
 def server_of(server: Server, classes: tuple[t.RequestClass, ...], now: float, shift: float) -> ServerMemory:
-    """A server's record as it stands; `shift` is what the caller's clock shows more than the module's, in s.
-    """
+    """A server's record as it stands; `shift` is what the caller's clock shows more than the module's (s)."""
     fresh = min(now, server.sent_at) if server.sent_at > 0 else now  # the record fades from the last send on
-    shut = tuple([ShutMemory(classes[cls].name, wait, max(0.0, until - fresh))
-                  for cls, (wait, until) in server.shut.items() if wait > 0 and cls is not None])
-    return ServerMemory(str(server.entry.server), server.entry.started, fresh + shift, server.slow,
-                        server.failures, server.ejected, server.out_for, shut)
+    shut = tuple(
+        [
+            ShutMemory(classes[cls].name, wait, max(0.0, until - fresh))
+            for cls, (wait, until) in server.shut.items()
+            if wait > 0 and cls is not None
+        ]
+    )
+    return ServerMemory(
+        str(server.entry.server),
+        server.entry.started,
+        fresh + shift,
+        server.slow,
+        server.failures,
+        server.ejected,
+        server.out_for,
+        shut,
+    )
 
 
 def put_server(server: Server, m: ServerMemory, classes: tuple[t.RequestClass, ...], now: float) -> None:
@@ -144,13 +156,40 @@
 def account_of(a: Account, shift: float, born: dict[int, int]) -> AccountMemory:
     """An account as it stands, its level that of `at`; `born` has the incarnations of peers."""
     return AccountMemory(
-        a.plan.name, a.first, a.spread, a.at + shift, a.asked_at + shift, a.level, a.ceiling, a.demand,
-        a.open, a.asked, a.spent,
-        tuple([PairMemory(peer, p.slice, p.units, p.round, p.told_slice, p.told_level,
-                          max(0.0, p.told_at + shift), p.told_totals, born.get(peer, 0))
-               for peer, p in a.pairs.items()]),
-        tuple([EdgeMemory(peer, e.asked, e.spent, e.heard, e.told, born.get(peer, 0))
-               for peer, e in a.edges.items()]))
+        a.plan.name,
+        a.first,
+        a.spread,
+        a.at + shift,
+        a.asked_at + shift,
+        a.level,
+        a.ceiling,
+        a.demand,
+        a.open,
+        a.asked,
+        a.spent,
+        tuple(
+            [
+                PairMemory(
+                    peer,
+                    p.slice,
+                    p.units,
+                    p.round,
+                    p.told_slice,
+                    p.told_level,
+                    max(0.0, p.told_at + shift),
+                    p.told_totals,
+                    born.get(peer, 0),
+                )
+                for peer, p in a.pairs.items()
+            ]
+        ),
+        tuple(
+            [
+                EdgeMemory(peer, e.asked, e.spent, e.heard, e.told, born.get(peer, 0))
+                for peer, e in a.edges.items()
+            ]
+        ),
+    )
 
 
 def put_account(a: Account, m: AccountMemory, resumes: bool, born: dict[int, int]) -> None:
@@ -165,8 +204,16 @@
         return
     for p in m.pairs:
         if p.peer in a.pairs and p.born == born.get(p.peer, 0):
-            a.pairs[p.peer] = Pair(p.slice, p.units, p.round, p.told_slice, p.told_level, p.told_at,
-                                   told_totals=p.told_totals, sent_at=p.told_at)
+            a.pairs[p.peer] = Pair(
+                p.slice,
+                p.units,
+                p.round,
+                p.told_slice,
+                p.told_level,
+                p.told_at,
+                told_totals=p.told_totals,
+                sent_at=p.told_at,
+            )
     for e in m.edges:
         if e.peer in a.edges:
             heard = e.heard if e.born == born.get(e.peer, 0) else None
--- a/corkdeal/net/__main__.py
+++ b/corkdeal/net/__main__.py
@@ -22,6 +22,7 @@
         given = config.load()
         if path:
             from ..options import load
+
             options = load(path)
     except ValueError as error:  # ConfigError and OptionsError
         for line in getattr(error, "faults", None) or [error]:
--- a/corkdeal/net/answers.py
+++ b/corkdeal/net/answers.py
@@ -36,7 +36,7 @@
 def report_in(frame: Frame, i: int) -> bytes:
     """The load report, where item i holds one."""
     load = frame.items[i]
-    return bytes(frame.buf[load.start:load.stop]) if load.kind == BULK else b""
+    return bytes(frame.buf[load.start : load.stop]) if load.kind == BULK else b""
 
 
 def read_reply(frame: Frame) -> Reply:
@@ -49,8 +49,11 @@
     if top.kind == ARRAY:
         stop = past(items, 1)[0]
         check_value(items)
-        return Reply(t.Status.OK, memoryview(frame.buf)[items[1].head:items[stop - 1].end],
-                     report_in(frame, past(items, stop)[0]))
+        return Reply(
+            t.Status.OK,
+            memoryview(frame.buf)[items[1].head : items[stop - 1].end],
+            report_in(frame, past(items, stop)[0]),
+        )
     word, _, rest = frame.text(0).partition(b" ")
     if word == b"BUSY":
         return Reply(t.Status.FULL, report=rest)
--- a/corkdeal/net/backends.py
+++ b/corkdeal/net/backends.py
@@ -20,8 +20,9 @@
     before the pool ends anything, so it leads its batch, and nothing is sent again to what drains.
     """
 
-    def __init__(self, pool: Pool, handheld: Handheld | None, lead: Callable[[t.Event], None],
-                 pump: Callable[[], None]) -> None:
+    def __init__(
+        self, pool: Pool, handheld: Handheld | None, lead: Callable[[t.Event], None], pump: Callable[[], None]
+    ) -> None:
         self.pool, self.handheld, self.lead, self.pump = pool, handheld, lead, pump
         self.listed: dict[str, t.ServerEntry] = {}
         self.at: dict[str, tuple[str, int]] = {}
--- a/corkdeal/net/config.py
+++ b/corkdeal/net/config.py
@@ -44,8 +44,12 @@
     """An IPv4 host and port; there are no names to look up."""
     host, _, port = raw.rpartition(":") if isinstance(raw, str) else ("", "", "")
     parts = host.split(".")
-    if (len(parts) != 4 or not all(p.isdecimal() and int(p) < 256 for p in parts)
-            or not port.isdecimal() or not 0 < int(port) <= MOST_PORT):
+    if (
+        len(parts) != 4
+        or not all(p.isdecimal() and int(p) < 256 for p in parts)
+        or not port.isdecimal()
+        or not 0 < int(port) <= MOST_PORT
+    ):
         raise ConfigError(f"{key} must be an IPv4 address and a port, not {raw!r:.60}")
     return host, int(port)
 
@@ -132,13 +136,17 @@
         name=str(raw.get("name") or env.get("RELAY_NAME") or "gateway"),
         listen=address(raw.get("listen") or env.get("RELAY_LISTEN"), "listen"),
         discovery=address(raw.get("discovery") or env.get("RELAY_DISCOVERY"), "discovery"),
-        seed=seed_of(raw.get("seed", "0")), settings=settings,
+        seed=seed_of(raw.get("seed", "0")),
+        settings=settings,
         peer_listen=address(raw["peer_listen"], "peer_listen") if raw.get("peer_listen") else None,
         peers=tuple(address(p, f"peers.{i}") for i, p in enumerate(peers)),
         peers_all=address(raw["peers_all"], "peers_all") if raw.get("peers_all") else None,
-        known=known, sockets=sockets, memory=int(memory * (1 << 20)),
+        known=known,
+        sockets=sockets,
+        memory=int(memory * (1 << 20)),
         ops=address(ops, "ops") if (ops := raw.get("ops") or env.get("RELAY_OPS")) else None,
-        inherited=inherited_of(env.get("RELAY_INHERITED_FD")))
+        inherited=inherited_of(env.get("RELAY_INHERITED_FD")),
+    )
 
 
 def load(env: Mapping[str, str] = os.environ) -> Config:
--- a/corkdeal/net/descriptors.py
+++ b/corkdeal/net/descriptors.py
@@ -37,8 +37,13 @@
     def evict(self) -> bool:
         """Close a channel that asked nothing, else once, else the one idle for longest; none with work."""
         now = self.now()
-        idle = [c for c in self.channels if c.spare and not (c.spoke and c.parser.midway)
-                and now - c.since >= (IDLE_LEAST if c.asked else SILENT_LEAST)]
+        idle = [
+            c
+            for c in self.channels
+            if c.spare
+            and not (c.spoke and c.parser.midway)
+            and now - c.since >= (IDLE_LEAST if c.asked else SILENT_LEAST)
+        ]
         idle.sort(key=lambda c: (min(c.asked, 2), c.since))
         victim = next((c for c in idle if not c.unread()), None)  # one about to be read has work after all
         if victim is None:
--- a/corkdeal/net/figures.py
+++ b/corkdeal/net/figures.py
@@ -27,8 +27,18 @@
         g, d = self.gateway, self.gateway.decisions
         tally = {k: g.tally[k] for k in ("success", "busy", "failure", "backend_calls", "told", "heard")}
         members = d.members.figures() if d.members is not None else {}
-        return {"asked": g.reader.number, **tally, "opened": g.pool.opened, **d.causes, **counts,
-                "now_open": len(g.rpcs), "now_servers": len(d.servers), "now_slow": round(d.slow, 3),
-                "now_ejected": sum(s.ejected for s in d.servers.values()), "now_accounts": len(d.accounts),
-                "now_demand": round(sum(a.demand for a in d.accounts.values()), 2),
-                "now_slices": round(sum(a.base() for a in d.accounts.values() if not a.wide), 3), **members}
+        return {
+            "asked": g.reader.number,
+            **tally,
+            "opened": g.pool.opened,
+            **d.causes,
+            **counts,
+            "now_open": len(g.rpcs),
+            "now_servers": len(d.servers),
+            "now_slow": round(d.slow, 3),
+            "now_ejected": sum(s.ejected for s in d.servers.values()),
+            "now_accounts": len(d.accounts),
+            "now_demand": round(sum(a.demand for a in d.accounts.values()), 2),
+            "now_slices": round(sum(a.base() for a in d.accounts.values() if not a.wide), 3),
+            **members,
+        }
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -58,8 +58,16 @@
         self.channels: set[channel.Channel] = set()
         self.budget = Budget(budget_for(config.memory))
         self.descriptors = Descriptors(config.sockets, self.channels, self.now)
-        self.pool = Pool(reactor, self.settings, config.sockets // 2, self.now, self.finished,
-                         self.descriptors.for_subchannel, self.passing, self.budget)
+        self.pool = Pool(
+            reactor,
+            self.settings,
+            config.sockets // 2,
+            self.now,
+            self.finished,
+            self.descriptors.for_subchannel,
+            self.passing,
+            self.budget,
+        )
         self.descriptors.pool = self.pool
         self.peering = Peering(self.settings.me, config.peers, config.peers_all, self.heard)
         self.watch = self.watch_at(config.discovery, config.known)
@@ -88,10 +96,20 @@
         self.backends = Backends(self.pool, handheld, lambda event: self.events.append(event), self.pump)
         self.operators = Operators(self, self.backends)
         self.tally = self.operators.tally
-        self.act = {t.Send: self.send, t.Refuse: self.refuse, t.Fail: self.fail, t.Cancel: self.cancel,
-                    t.SetTimer: self.set_timer, t.Probe: self.probe, t.CloseIdle: self.close_idle,
-                    t.Tell: self.tell, t.Log: self.write_log, t.Subscribe: self.subscribe,
-                    t.FetchList: self.fetch_list, t.Count: self.count}
+        self.act = {
+            t.Send: self.send,
+            t.Refuse: self.refuse,
+            t.Fail: self.fail,
+            t.Cancel: self.cancel,
+            t.SetTimer: self.set_timer,
+            t.Probe: self.probe,
+            t.CloseIdle: self.close_idle,
+            t.Tell: self.tell,
+            t.Log: self.write_log,
+            t.Subscribe: self.subscribe,
+            t.FetchList: self.fetch_list,
+            t.Count: self.count,
+        }
 
     def now(self) -> float:
         """The module's clock: wall time at the start plus monotonic time since."""
@@ -121,6 +139,7 @@
         if not self.config.ops or self.ending:
             return
         from . import ops
+
         try:
             self.ops_port = ops.listen(self.reactor, self.config.ops, self.operators)
         except CannotListenError as error:
@@ -168,8 +187,12 @@
                 self.opening = self.opening or self.reactor.callLater(SWEEP_EVERY, self.open_again)
                 return
             self.started = True
-            logs.event("serving", name=self.config.name, at=text_of(self.config.listen),
-                       inherited=self.config.inherited is not None)
+            logs.event(
+                "serving",
+                name=self.config.name,
+                at=text_of(self.config.listen),
+                inherited=self.config.inherited is not None,
+            )
 
     def open_again(self) -> None:
         """Try once more."""
@@ -200,8 +223,11 @@
             self.tally["reconfig_failed"] += 1
             return logs.event("reload_refused", error=str(error))
         self.tally["reconfig_ok"] += 1
-        late = [f.name for f in dataclasses.fields(new) if f.name not in AT_START
-                and getattr(new, f.name) != getattr(self.config, f.name)]
+        late = [
+            f.name
+            for f in dataclasses.fields(new)
+            if f.name not in AT_START and getattr(new, f.name) != getattr(self.config, f.name)
+        ]
         self.config = dataclasses.replace(self.config, discovery=new.discovery)
         self.watch_again()
         logs.event("reloaded", discovery=text_of(new.discovery), at_next_start=",".join(late))
@@ -246,8 +272,12 @@
 
     def channel_ended(self) -> None:
         """End once draining is done and the last channel has closed."""
-        if self.draining and not (self.ending or self.channels or self.rpcs) and self.reactor.running and (
-                not self.port or self.port.disconnecting or self.port.disconnected):
+        if (
+            self.draining
+            and not (self.ending or self.channels or self.rpcs)
+            and self.reactor.running
+            and (not self.port or self.port.disconnecting or self.port.disconnected)
+        ):
             self.ending = True
             self.watch.stop()
             self.end(self.before_end[:])
@@ -383,8 +413,9 @@
             self.refuse(t.Refuse(rid, 0.0)) if never else self.fail(t.Fail(rid))
         if self.decisions.opening is not None:
             self.decisions.opening.answered(reply.status is t.Status.OK)
-        self.feed(t.Outcome(rid, attempt.number, attempt.server, reply.status, elapsed, rpc.done,
-                            report=report))
+        self.feed(
+            t.Outcome(rid, attempt.number, attempt.server, reply.status, elapsed, rpc.done, report=report)
+        )
 
     def passing(self, attempt: Attempt, passage: Passage) -> bool:
         """The first bytes of a long answer: it is the final one. Whether somebody waits for it.
--- a/corkdeal/net/handheld.py
+++ b/corkdeal/net/handheld.py
@@ -41,8 +41,11 @@
             with open(self.path, "rb") as file:
                 raw = orjson.loads(file.read())
             out, back = raw["out"], raw["back"]
-            if raw.get("format") != FORMAT or not all(isinstance(x, str) for x in out) or not all(
-                    isinstance(k, str) and type(v) is float for k, v in back.items()):
+            if (
+                raw.get("format") != FORMAT
+                or not all(isinstance(x, str) for x in out)
+                or not all(isinstance(k, str) and type(v) is float for k, v in back.items())
+            ):
                 raise ValueError("unknown form")
             self.out, self.back = set(out), back
         except FileNotFoundError:
--- a/corkdeal/net/operators.py
+++ b/corkdeal/net/operators.py
@@ -27,15 +27,28 @@
 
     def state(self) -> str:
         """In a word."""
-        return ("ending" if self.gateway.draining else "standby" if self.standby
-                else "serving" if self.gateway.started else "starting")
+        return (
+            "ending"
+            if self.gateway.draining
+            else "standby"
+            if self.standby
+            else "serving"
+            if self.gateway.started
+            else "starting"
+        )
 
     def figures(self) -> dict[str, int]:
         """Answers by kind since the start, and the backends as listed now."""
         listed, down = self.backends.counts()
         tally = {k: self.tally[k] for k in ("success", "busy", "failure", "backend_calls")}
-        return {**tally, "inflight": len(self.gateway.rpcs), "hosts_listed": listed, "hosts_down": down,
-                "reconfig_ok": self.tally["reconfig_ok"], "reconfig_failed": self.tally["reconfig_failed"]}
+        return {
+            **tally,
+            "inflight": len(self.gateway.rpcs),
+            "hosts_listed": listed,
+            "hosts_down": down,
+            "reconfig_ok": self.tally["reconfig_ok"],
+            "reconfig_failed": self.tally["reconfig_failed"],
+        }
 
     def stand_by(self) -> bool:
         """Drain without ending: PING says no, channels close as they fall idle. Whether that is news."""
--- a/corkdeal/net/ops.py
+++ b/corkdeal/net/ops.py
@@ -66,8 +66,11 @@
         parts = self.path(request)
         if parts == ["status"]:
             ready = self.operators.ready
-            return reply(request, 200 if ready else 503, {"word": "YES" if ready else "NO",
-                                                          "state": self.operators.state()})
+            return reply(
+                request,
+                200 if ready else 503,
+                {"word": "YES" if ready else "NO", "state": self.operators.state()},
+            )
         if parts == ["status", "metrics"]:
             return reply(request, 200, {PREFIX + k: v for k, v in self.operators.figures().items()})
         return self.not_here(request, parts, "GET")
@@ -93,7 +96,8 @@
         """405 for a path that the other method knows, else 404."""
         gets = parts in (["status"], ["status", "metrics"])
         puts = (len(parts) == 1 and parts[0] in PUT_CALLS) or (
-            len(parts) == 3 and parts[0] == "maintenance" and parts[1] in HOLD_CALLS)
+            len(parts) == 3 and parts[0] == "maintenance" and parts[1] in HOLD_CALLS
+        )
         if (gets and method != "GET") or (puts and method != "PUT"):
             request.setHeader(b"allow", b"GET, HEAD" if gets else b"PUT")
             return reply(request, 405, {"word": "NO", "error": f"{method} is not allowed here"})
--- a/corkdeal/net/passage.py
+++ b/corkdeal/net/passage.py
@@ -33,7 +33,7 @@
         if stop < len(items):
             raise Malformed("a long value where none belongs")
         self.conn, self.attempt, self.rpc = conn, attempt, attempt.rpc
-        self.head: memoryview | None = memoryview(frame.buf)[items[1].head:items[-1].start]
+        self.head: memoryview | None = memoryview(frame.buf)[items[1].head : items[-1].start]
         self.ended = False  # whether all of the value was handed to the channel
         self.begun = False  # whether its first bytes went to the channel, which makes the attempt final
         self.kept = 0  # bytes, for the budget
@@ -102,7 +102,7 @@
                 stop, self.inner = past(frame.items, 0, self.inner)
                 long = not frame.last and stop == len(frame.items)
                 last = frame.items[stop - 1]
-                parts.append(memoryview(frame.buf)[frame.items[0].head:last.start if long else last.end])
+                parts.append(memoryview(frame.buf)[frame.items[0].head : last.start if long else last.end])
                 if long:
                     continue
                 self.ended = True
--- a/corkdeal/net/peering.py
+++ b/corkdeal/net/peering.py
@@ -15,8 +15,13 @@
 class Peering(DatagramProtocol):
     """Sends payloads to peers by number; a sender is known by its address alone."""
 
-    def __init__(self, me: int, peers: tuple[Address, ...], everyone: Address | None,
-                 heard: Callable[[int, bytes], None]) -> None:
+    def __init__(
+        self,
+        me: int,
+        peers: tuple[Address, ...],
+        everyone: Address | None,
+        heard: Callable[[int, bytes], None],
+    ) -> None:
         self.peers, self.everyone, self.heard = peers, everyone, heard
         self.numbers = {at: i for i, at in enumerate(peers) if i != me}
 
--- a/corkdeal/net/program.py
+++ b/corkdeal/net/program.py
@@ -25,9 +25,11 @@
         self.keeper: Keeper | None = None
         if options and options.recovery:  # before the store is read: neighbours are asked as well
             from .recovery import Recovery
+
             self.gateway.recovery = Recovery(reactor, self.gateway)
         if options and options.membership:
             from .membership import Membership
+
             self.gateway.membership = Membership(reactor, self.gateway)
         if options and options.knowledge:
             self.keep(options).load()
@@ -40,6 +42,7 @@
             self.gateway.membership.start()
         if self.options and self.options.figures:
             from .figures import Figures
+
             Figures(self.reactor, self.gateway, self.options.figures.every).start()
         if self.config.inherited is None:
             self.gateway.start()
@@ -51,6 +54,7 @@
     def succeed(self) -> None:
         """Begin beside the process before this one, if there is one, with what it gives."""
         from .succession import Succession
+
         try:
             self.gateway.succession = Succession(self.reactor, self.gateway)
             self.gateway.succession.begin(self.gateway.start)
@@ -74,6 +78,7 @@
         if not self.options_path:
             return
         from ..options import OptionsError, load
+
         try:
             new = load(self.options_path)
         except OptionsError as error:
@@ -113,6 +118,7 @@
     first = _observer is None
     if options and options.log:
         from ..logs import structured
+
         logs.configure(structured.sink(options.log.format, name), options.log.level)
         observer: Any = structured.from_library
     else:
--- a/corkdeal/net/recovery.py
+++ b/corkdeal/net/recovery.py
@@ -48,12 +48,19 @@
         """Beat, and say when the state changes."""
         now, decisions = self.gateway.now(), self.gateway.decisions
         self.turn(now)
-        heard = sum(decisions.peer_heard.get(p, 0.0) > self.standing.began and p in decisions.peer_born
-                    for p in decisions.neighbours)
+        heard = sum(
+            decisions.peer_heard.get(p, 0.0) > self.standing.began and p in decisions.peer_born
+            for p in decisions.neighbours
+        )
         self.usual.look(now, self.gateway.tally["backend_calls"])
         causes = decisions.causes
-        left = self.standing.look(now, heard, len(decisions.neighbours), self.gateway.tally["success"],
-                                  sum(n for why, n in causes.items() if why.startswith("inside")))
+        left = self.standing.look(
+            now,
+            heard,
+            len(decisions.neighbours),
+            self.gateway.tally["success"],
+            sum(n for why, n in causes.items() if why.startswith("inside")),
+        )
         if left:
             self.tell(left)
         self.reactor.callLater(LOOK_EVERY, self.look)
@@ -68,8 +75,14 @@
         divided = succession is not None and succession.given is not None  # with the life before: not its own
         if left.state == "learning" and not many and not divided:
             decisions.retries_left, self.saved_up = max(decisions.retries_left, self.saved_up), 0.0
-        logs.event("recovery", state=left.state, before=left.before, why=left.why,
-                   among="many" if many else "few", after=round(left.after, 2))
+        logs.event(
+            "recovery",
+            state=left.state,
+            before=left.before,
+            why=left.why,
+            among="many" if many else "few",
+            after=round(left.after, 2),
+        )
 
     def turn(self, now: float) -> bool:
         """Something is about to happen: whether the process stood still before it, be it in mid-turn."""
--- a/corkdeal/net/resolver.py
+++ b/corkdeal/net/resolver.py
@@ -83,9 +83,17 @@
             if type(figure) not in (int, float) or figure < 0:
                 raise ListError(f"members.{i}.{key} must be a number, 0 or more")
         addresses[name] = host, int(port)
-        entries.append(t.ServerEntry(
-            name, STATES[phase], index(settings.zones, m.get("locality")), int(figures[0]), float(figures[1]),
-            index(settings.kinds, m.get("flavor")), figures[2] / 1000))
+        entries.append(
+            t.ServerEntry(
+                name,
+                STATES[phase],
+                index(settings.zones, m.get("locality")),
+                int(figures[0]),
+                float(figures[1]),
+                index(settings.kinds, m.get("flavor")),
+                figures[2] / 1000,
+            )
+        )
     return ResolverResult(revision, raw["complete"], tuple(entries), addresses)
 
 
@@ -109,9 +117,15 @@
     failure, keep it from answering anybody. There calls are also spread over the tier's time, by chance.
     """
 
-    def __init__(self, reactor: Any, at: tuple[str, int], settings: t.Settings,
-                 told: Callable[[ResolverResult], None], held: ResolverResult | None = None,
-                 rng: random.Random | None = None) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        at: tuple[str, int],
+        settings: t.Settings,
+        told: Callable[[ResolverResult], None],
+        held: ResolverResult | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
         self.reactor, self.settings, self.told = reactor, settings, told
         self.rng = rng or random.Random()
         self.revision = held.revision if held and held.complete else None  # None asks for the whole list
@@ -119,8 +133,9 @@
         share = SHARE * settings.gateways
         # where lists are pushed, what there is when discovery is back counts as told at once
         soon = max(AGAIN, min(AGAIN_MOST, AGAIN_PART * settings.drain_grace))
-        self.least, self.most = (AGAIN, soon) if settings.list_pushed else (
-            share, max(LONGEST * share, settings.ask_every))
+        self.least, self.most = (
+            (AGAIN, soon) if settings.list_pushed else (share, max(LONGEST * share, settings.ask_every))
+        )
         self.url = f"http://{at[0]}:{at[1]}/v1/servers".encode()
         self.pool = HTTPConnectionPool(reactor, persistent=True)
         self.pool.retryAutomatically = False
--- a/corkdeal/net/resp.py
+++ b/corkdeal/net/resp.py
@@ -50,13 +50,16 @@
     def text(self, i: int) -> bytes:
         """A copy of an item's content, for the short ones."""
         item = self.items[i]
-        return bytes(self.buf[item.start:item.stop])
+        return bytes(self.buf[item.start : item.stop])
 
     def is_command(self) -> bool:
         """An array of bulk strings, one at least and none of them null."""
         top, words = self.items[0], self.items[1:]
-        return (top.kind == ARRAY and 0 < top.size == len(words)
-                and all(i.kind == BULK and i.size >= 0 for i in words))
+        return (
+            top.kind == ARRAY
+            and 0 < top.size == len(words)
+            and all(i.kind == BULK and i.size >= 0 for i in words)
+        )
 
 
 class Parser:
@@ -93,7 +96,7 @@
 
     def shift(self) -> None:
         """Move an unfinished frame to a buffer of its own."""
-        by, self.buf = self.begin, bytearray(memoryview(self.buf)[self.begin:])
+        by, self.buf = self.begin, bytearray(memoryview(self.buf)[self.begin :])
         self.at, self.need, self.begin = self.at - by, self.need - by, 0
         for i in self.items:
             i.head, i.start, i.stop, i.end = i.head - by, i.start - by, i.stop - by, i.end - by
@@ -109,8 +112,8 @@
             return None
         end, self.body = at + take, self.body - take
         if self.body < 2:  # the last byte, or the one before it, is in this piece
-            tail = b"\r\n"[max(0, 2 - self.body - take):2 - self.body]
-            if self.buf[end - len(tail):end] != tail:
+            tail = b"\r\n"[max(0, 2 - self.body - take) : 2 - self.body]
+            if self.buf[end - len(tail) : end] != tail:
                 raise Malformed("value does not end where it should")
         self.at = self.begin = end
         return memoryview(self.buf)[at:end]
@@ -202,5 +205,8 @@
 
 def report_of(raw: bytes, names: dict[str, str]) -> dict[str, float]:
     """A load report: the fields that the settings name, as numbers; anything else is left out."""
-    return {known: float(value) for name, value in fields_of(raw)
-            if (known := names.get(name.decode("latin-1"))) and FIGURE(value)}
+    return {
+        known: float(value)
+        for name, value in fields_of(raw)
+        if (known := names.get(name.decode("latin-1"))) and FIGURE(value)
+    }
--- a/corkdeal/net/rpc.py
+++ b/corkdeal/net/rpc.py
@@ -19,8 +19,16 @@
 DECIMAL = re.compile(rb"[0-9]{1,6}(?:\.[0-9]{1,6})?").fullmatch
 KEY = re.compile(rb"[!-+\--<>-~]{1,64}").fullmatch  # visible, and neither a comma nor an equals sign
 FLAG = re.compile(rb"[01]").fullmatch
-FORMS = {b"c": None, b"t": None, b"d": WHOLE, b"k": KEY, b"r": FLAG, b"units": DECIMAL, b"spread": WHOLE,
-         b"first": WHOLE}
+FORMS = {
+    b"c": None,
+    b"t": None,
+    b"d": WHOLE,
+    b"k": KEY,
+    b"r": FLAG,
+    b"units": DECIMAL,
+    b"spread": WHOLE,
+    b"first": WHOLE,
+}
 DEFAULTS = {b"c": b"", b"t": b"", b"units": b"1", b"spread": b"1", b"first": b"0"}
 
 
@@ -51,13 +59,13 @@
         """The command for a subchannel: all as it came, but `d` says how long this gateway waits."""
         buf, params = memoryview(self.frame.buf), self.frame.items[PARAMS]
         first, last = self.frame.items[0], self.frame.items[-1]
-        left = buf[params.start:params.start + self.wait_at]
-        right = buf[params.start + self.wait_stop:params.stop]
+        left = buf[params.start : params.start + self.wait_at]
+        right = buf[params.start + self.wait_stop : params.stop]
         text = b"%b%d%b" % (left, max(1, int(wait * 1000)), right)
-        head = [buf[first.head:params.head], b"$%d\r\n%b" % (len(text), text)]
+        head = [buf[first.head : params.head], b"$%d\r\n%b" % (len(text), text)]
         if self.body is not None:
-            return [*head, buf[params.stop:last.start], *self.body.pieces]
-        return [*head, buf[params.stop:last.end]]
+            return [*head, buf[params.stop : last.start], *self.body.pieces]
+        return [*head, buf[params.stop : last.end]]
 
     def release(self) -> None:
         """Let go of a long value once it can't be sent again."""
@@ -99,9 +107,18 @@
             raise BadRequest("customer and id must be 16 hexadecimal digits")
         customer, rid = int(frame.text(CUSTOMER), 16), int(frame.text(ID), 16)
         wait, units, spread, first = (
-            int(given[b"d"]), float(given[b"units"]), int(given[b"spread"]), int(given[b"first"]))
-        if not (customer < MOST_CUSTOMER and wait and 0 < units <= s.most_units and 0 < spread <= s.gateways
-                and first < s.gateways):
+            int(given[b"d"]),
+            float(given[b"units"]),
+            int(given[b"spread"]),
+            int(given[b"first"]),
+        )
+        if not (
+            customer < MOST_CUSTOMER
+            and wait
+            and 0 < units <= s.most_units
+            and 0 < spread <= s.gateways
+            and first < s.gateways
+        ):
             raise BadRequest("parameters out of range")
         if rid in self.open:
             raise BadRequest("an open request has this id")
@@ -110,9 +127,26 @@
         stop = raw.find(b",", at)
         deadline = now - waited + wait / 1000 - CLIENT_WAY
         self.number += 1
-        return RPC(t.Request(self.number, customer, plan, cls, units, first, spread, max(0.0, deadline - now),
-                             given.get(b"r") == b"1", write, waited),
-                   rid, frame, at, stop if stop >= 0 else len(raw), deadline)
+        return RPC(
+            t.Request(
+                self.number,
+                customer,
+                plan,
+                cls,
+                units,
+                first,
+                spread,
+                max(0.0, deadline - now),
+                given.get(b"r") == b"1",
+                write,
+                waited,
+            ),
+            rid,
+            frame,
+            at,
+            stop if stop >= 0 else len(raw),
+            deadline,
+        )
 
     def read_head(self, frame: Frame, left: int, now: float) -> RPC:
         """A command that has come up to its long value, with `left` items still to come behind that."""
--- a/corkdeal/net/subchannel.py
+++ b/corkdeal/net/subchannel.py
@@ -44,8 +44,11 @@
     def whole(self) -> bool:
         """Whether its last byte was handed to the kernel, so that its backend may have begun it."""
         conn = self.conn
-        return conn is not None and conn.begun_at is not None and not (
-            conn.sender or gather.pending(conn.transport))
+        return (
+            conn is not None
+            and conn.begun_at is not None
+            and not (conn.sender or gather.pending(conn.transport))
+        )
 
 
 class Subchannel(LineReceiver):
@@ -114,8 +117,9 @@
         except Malformed:
             return self.spoilt(self.attempt)
         if not reply and not begun:  # one that never ends would hold its request up to the deadline
-            self.pool.reactor.callLater(REPLY_STALL, self.stalled, self.attempt,
-                                        self.pool.now() + REPLY_LATE, len(self.parser.buf))
+            self.pool.reactor.callLater(
+                REPLY_STALL, self.stalled, self.attempt, self.pool.now() + REPLY_LATE, len(self.parser.buf)
+            )
         if reply:
             self.answered(self.attempt, reply)
 
@@ -224,9 +228,17 @@
     whether the process can spare a descriptor for one more.
     """
 
-    def __init__(self, reactor: Any, settings: t.Settings, most: int, now: Callable[[], float],
-                 finished: Callable[[Attempt, Reply], None], room: Callable[[], bool],
-                 passing: Callable[[Attempt, Passage], bool], budget: Budget) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        settings: t.Settings,
+        most: int,
+        now: Callable[[], float],
+        finished: Callable[[Attempt, Reply], None],
+        room: Callable[[], bool],
+        passing: Callable[[Attempt, Passage], bool],
+        budget: Budget,
+    ) -> None:
         self.reactor, self.most, self.now, self.finished, self.room = reactor, most, now, finished, room
         self.passing, self.budget = passing, budget
         aim = min(c.aim for c in settings.classes)
--- a/corkdeal/net/succession.py
+++ b/corkdeal/net/succession.py
@@ -78,8 +78,13 @@
             self.given = succession.Given(self.recall(document), succession.NEW_PART)
             self.decisions.remember(self.given)
             self.decisions.part = whole * succession.NEW_PART
-            logs.event("handover_begun", life=self.lives.me, before=self.before,
-                       accounts=sum(map(len, document.accounts)), part=round(self.decisions.part, 3))
+            logs.event(
+                "handover_begun",
+                life=self.lives.me,
+                before=self.before,
+                accounts=sum(map(len, document.accounts)),
+                part=round(self.decisions.part, 3),
+            )
         start()
 
     def follow(self) -> None:
@@ -98,7 +103,8 @@
         else:
             part = document.head.fleet.part
             self.taking = succession.take_rest(
-                self.decisions, self.gateway.now, self.given, self.recall(document), part)
+                self.decisions, self.gateway.now, self.given, self.recall(document), part
+            )
             return self.take()
         self.taken(False)
 
@@ -111,8 +117,13 @@
 
     def taken(self, rest: bool) -> None:
         """All that the life before held is here, or lost."""
-        logs.event("handover_done", life=self.lives.me, before=self.before, rest=rest,
-                   part=round(self.decisions.part, 3))
+        logs.event(
+            "handover_done",
+            life=self.lives.me,
+            before=self.before,
+            rest=rest,
+            part=round(self.decisions.part, 3),
+        )
         self.before = None
         self.gateway.hear()
 
--- a/corkdeal/net/timers.py
+++ b/corkdeal/net/timers.py
@@ -17,8 +17,9 @@
 class Timers:
     """Tokens and attempts by when they are due, in s of the gateway's clock; `due` hears of both."""
 
-    def __init__(self, reactor: Any, now: Callable[[], float],
-                 due: Callable[[list[int], list[Attempt]], None]) -> None:
+    def __init__(
+        self, reactor: Any, now: Callable[[], float], due: Callable[[list[int], list[Attempt]], None]
+    ) -> None:
         self.reactor, self.now, self.due = reactor, now, due
         self.heap: list[tuple[float, int, Any]] = []  # due, order, and a token or an attempt
         self.number = 0
--- a/corkdeal/options/__init__.py
+++ b/corkdeal/options/__init__.py
@@ -13,5 +13,6 @@
     """The reader and its parser are imported only where a file is given."""
     if name in ("OptionsError", "load", "parse"):
         from . import reader
+
         return getattr(reader, name)
     raise AttributeError(name)
--- a/corkdeal/options/halls.py
+++ b/corkdeal/options/halls.py
@@ -17,8 +17,10 @@
 
 def tiers_of(options: HallsOptions) -> Tiers:
     """Halls and distances; `ValueError` where they don't fit."""
-    return Tiers.of((Hall(h.name, h.region, h.weight) for h in options.halls),
-                    {(d.one, d.other): d.value for d in options.distances})
+    return Tiers.of(
+        (Hall(h.name, h.region, h.weight) for h in options.halls),
+        {(d.one, d.other): d.value for d in options.distances},
+    )
 
 
 def faults(options: HallsOptions) -> Iterator[tuple[Any, str, str]]:
--- a/corkdeal/options/reader.py
+++ b/corkdeal/options/reader.py
@@ -93,6 +93,7 @@
     options = parse_as(Options, text, path)
     if options.halls:
         from . import halls
+
         faults = [Fault(*place.at(), node, text) for place, node, text in halls.faults(options.halls)]
         if faults:
             raise OptionsError(path, faults)
@@ -104,8 +105,10 @@
 
     Its fields are the nodes that may stand at the top: one record or None, or `many` of a name.
     """
-    config = kdl.ParseConfig(nodeConverters={None: Placed},
-                             valueConverters={None: lambda value, place: PlacedValue(value.value, place)})
+    config = kdl.ParseConfig(
+        nodeConverters={None: Placed},
+        valueConverters={None: lambda value, place: PlacedValue(value.value, place)},
+    )
     try:
         document = kdl.parse(text, config)
     except kdl.ParseError as error:
@@ -162,8 +165,9 @@
     types, values = get_type_hints(kind), {}
     children = {f.metadata["child"]: f for f in fields.values() if "many" in f.metadata}
     scalars = {name for name, f in fields.items() if "least" in f.metadata and f.metadata["argument"] is None}
-    arguments = sorted((f.metadata["argument"], f) for f in fields.values()
-                       if f.metadata.get("argument") is not None)
+    arguments = sorted(
+        (f.metadata["argument"], f) for f in fields.values() if f.metadata.get("argument") is not None
+    )
 
     def take(name: str, value: Placed, path: str) -> None:
         values[name], wrong = checked(value.value, types[name], fields[name].metadata)
--- a/corkdeal/options/records.py
+++ b/corkdeal/options/records.py
@@ -11,8 +11,15 @@
 from typing import Any
 
 
-def setting(default: Any = ..., *, least: float | None = None, most: float | None = None,
-            choices: tuple[str, ...] = (), absolute: bool = False, argument: int | None = None) -> Any:
+def setting(
+    default: Any = ...,
+    *,
+    least: float | None = None,
+    most: float | None = None,
+    choices: tuple[str, ...] = (),
+    absolute: bool = False,
+    argument: int | None = None,
+) -> Any:
     """A field with its bounds; without a default the node must give it.
 
     With `argument` its value stands at that place behind the node's name, without a name of its own.
--- a/corkdeal/peers.py
+++ b/corkdeal/peers.py
@@ -55,35 +55,75 @@
 
 def fits(note: Note | Totals, peer: int, s: Settings) -> bool:
     """Whether settings and set allow such a note between that peer and this gateway."""
-    return (note.plan < len(s.plans) and note.first < s.gateways and 2 <= note.spread <= s.gateways
-            and (isinstance(note, Totals) and shares_trees(note.spread, s.gateways)
-                 or all((member - note.first) % s.gateways < note.spread for member in (peer, s.me))))
+    return (
+        note.plan < len(s.plans)
+        and note.first < s.gateways
+        and 2 <= note.spread <= s.gateways
+        and (
+            isinstance(note, Totals)
+            and shares_trees(note.spread, s.gateways)
+            or all((member - note.first) % s.gateways < note.spread for member in (peer, s.me))
+        )
+    )
 
 
 def pack(born: int, yours: int, number: int, notes: list[Note]) -> list[bytes]:
     """Messages, one at least: both ends' incarnations, a round number and the notes."""
-    head, rows = HEAD.pack(VERSION, born, yours, number), [ENTRY.pack(
-        n.customer & 0xFFFFFFFF, n.customer >> 32 & 0xFF, n.plan, n.first, n.spread,
-        n.slice, min(HALF, n.demand), max(-HALF, min(HALF, n.level)),
-        max(-SHORT, min(SHORT, n.slice_total)), n.units_total) for n in notes]
-    return [head + b"".join(rows[i:i + ENTRIES]) for i in range(0, max(1, len(rows)), ENTRIES)]
+    head, rows = (
+        HEAD.pack(VERSION, born, yours, number),
+        [
+            ENTRY.pack(
+                n.customer & 0xFFFFFFFF,
+                n.customer >> 32 & 0xFF,
+                n.plan,
+                n.first,
+                n.spread,
+                n.slice,
+                min(HALF, n.demand),
+                max(-HALF, min(HALF, n.level)),
+                max(-SHORT, min(SHORT, n.slice_total)),
+                n.units_total,
+            )
+            for n in notes
+        ],
+    )
+    return [head + b"".join(rows[i : i + ENTRIES]) for i in range(0, max(1, len(rows)), ENTRIES)]
 
 
 def pack_totals(born: int, notes: list[Totals]) -> list[bytes]:
     """Messages of a wide ring: the sender's incarnation and its notes."""
-    head, rows = TOTALS_HEAD.pack(TOTALS_VERSION, born), [TOTALS_ENTRY.pack(
-        n.customer & 0xFFFFFFFF, n.customer >> 32 & 0xFF, n.plan, n.first, n.spread,
-        round(n.asked * PARTS) & 0xFFFF, round(n.spent * PARTS) & 0xFFFF) for n in notes]
-    return [head + b"".join(rows[i:i + TOTALS_ENTRIES]) for i in range(0, len(rows), TOTALS_ENTRIES)]
-
-
-def rows_of(payload: bytes, peer: int, s: Settings, version: int, head: struct.Struct, row: struct.Struct,
-            kind: Callable) -> list | None:
+    head, rows = (
+        TOTALS_HEAD.pack(TOTALS_VERSION, born),
+        [
+            TOTALS_ENTRY.pack(
+                n.customer & 0xFFFFFFFF,
+                n.customer >> 32 & 0xFF,
+                n.plan,
+                n.first,
+                n.spread,
+                round(n.asked * PARTS) & 0xFFFF,
+                round(n.spent * PARTS) & 0xFFFF,
+            )
+            for n in notes
+        ],
+    )
+    return [head + b"".join(rows[i : i + TOTALS_ENTRIES]) for i in range(0, len(rows), TOTALS_ENTRIES)]
+
+
+def rows_of(
+    payload: bytes,
+    peer: int,
+    s: Settings,
+    version: int,
+    head: struct.Struct,
+    row: struct.Struct,
+    kind: Callable,
+) -> list | None:
     """The notes behind a head, or None for what is not of this version or not whole."""
     size = len(payload) - head.size
     if size < 0 or size % row.size or payload[0] != version or peer == s.me or not 0 <= peer < s.gateways:
         return None
-    notes = [kind(*values) for values in row.iter_unpack(payload[head.size:])]
+    notes = [kind(*values) for values in row.iter_unpack(payload[head.size :])]
     return None if None in notes else [n for n in notes if fits(n, peer, s)]
 
 
--- a/corkdeal/plumbing.py
+++ b/corkdeal/plumbing.py
@@ -62,9 +62,14 @@
         self.out: list[t.Action] = []
         self.causes: Counter[str] = Counter()  # why requests were given up on, inside and beyond their quotas
         self.handlers = {
-            t.ServerList: self.on_list, t.Request: self.on_request, t.Outcome: self.on_outcome,
-            t.StreamStarted: self.on_stream, t.ClientGone: lambda e: self.requests.pop(e.id, None),
-            t.TimerDue: self.on_timer, t.PeerMessage: self.on_peer}
+            t.ServerList: self.on_list,
+            t.Request: self.on_request,
+            t.Outcome: self.on_outcome,
+            t.StreamStarted: self.on_stream,
+            t.ClientGone: lambda e: self.requests.pop(e.id, None),
+            t.TimerDue: self.on_timer,
+            t.PeerMessage: self.on_peer,
+        }
 
     def handle(self, now: float, events: list[t.Event]) -> list[t.Action]:
         """Take what happened at `now` and say what to do about it."""
@@ -92,8 +97,11 @@
 
         What was stored may be an older copy, so where neighbours are asked it never does on a store's word.
         """
-        return self.earlier is not None and self.earlier.resumes() and (
-            self.ledgers is None or self.earlier.exact)
+        return (
+            self.earlier is not None
+            and self.earlier.resumes()
+            and (self.ledgers is None or self.earlier.exact)
+        )
 
     def take_fleet(self, known: memory.FleetMemory) -> None:
         """Take usual work from an earlier life, and its incarnation or, where that is over, a later one."""
@@ -107,16 +115,32 @@
     def learned(self) -> memory.FleetMemory:
         """What is known of the fleet and of peers' incarnations, for a later life."""
         from . import memory
-        work = tuple([memory.WorkMemory(self.s.classes[cls].name, size, seconds)
-                      for (cls, size), seconds in self.work.items()])
-        return memory.FleetMemory(self.pace, self.slow, self.retries_left, work, self.s.me, self.s.gateways,
-                                  self.born, self.round, tuple(self.peer_born.items()), self.part)
+
+        work = tuple(
+            [
+                memory.WorkMemory(self.s.classes[cls].name, size, seconds)
+                for (cls, size), seconds in self.work.items()
+            ]
+        )
+        return memory.FleetMemory(
+            self.pace,
+            self.slow,
+            self.retries_left,
+            work,
+            self.s.me,
+            self.s.gateways,
+            self.born,
+            self.round,
+            tuple(self.peer_born.items()),
+            self.part,
+        )
 
     def new_server(self, entry: t.ServerEntry) -> Server:
         """A server that the list names for the first time, with what an earlier life knew of it."""
         server = Server(entry, met_at=self.now)
         if self.earlier and (known := self.earlier.server(entry, self.now)):
             from . import memory
+
             memory.put_server(server, known, self.s.classes, self.now)
         return server
 
@@ -124,6 +148,7 @@
         """Give an account that was just made what an earlier life knew of it."""
         if self.earlier and (known := self.earlier.account(customer, a.plan, a.first, a.spread, self.now)):
             from . import memory
+
             memory.put_account(a, known, self.resumed(), self.peer_born)
             if self.ledgers is not None and not self.resumed():
                 self.ledgers.recalled(a, known, self.earlier.resumes())
@@ -244,8 +269,12 @@
             for born in self.peer_born.values():
                 last = born if later(born, last) else last
             self.born = (last + self.older_by + 1) & 0xFFFFFFFF or 1
-            self.out.append(t.Log("peers know a later start of this gateway, so its wall clock went back; "
-                                  f"it goes on as start {self.born}"))
+            self.out.append(
+                t.Log(
+                    "peers know a later start of this gateway, so its wall clock went back; "
+                    f"it goes on as start {self.born}"
+                )
+            )
 
     def tell(self, peer: int, notes: list[peers.Note]) -> None:
         """Both incarnations and a round, then the notes, in as many messages as they need."""
--- a/corkdeal/recovery/ledgers.py
+++ b/corkdeal/recovery/ledgers.py
@@ -85,7 +85,10 @@
 
     def given(self, d: Gateway, peer: int) -> list[tuple[int, Account]]:
         """The accounts whose totals a neighbour that started anew is told, the largest first."""
-        mine = [(key, a) for key, a in d.accounts.items()
-                if (pair := a.pairs.get(peer)) is not None and (pair.slice or pair.units)]
+        mine = [
+            (key, a)
+            for key, a in d.accounts.items()
+            if (pair := a.pairs.get(peer)) is not None and (pair.slice or pair.units)
+        ]
         mine.sort(key=lambda row: (-abs(row[1].pairs[peer].slice), row[0]))
         return mine[:MOST_GIVEN]
--- a/corkdeal/standin/discovery.py
+++ b/corkdeal/standin/discovery.py
@@ -15,8 +15,11 @@
 class Discovery:
     """Serves a list that the experiment changes; every answer is the whole list."""
 
-    def __init__(self, members: Callable[..., list[dict[str, Any]]],
-                 told: Callable[[int, list[dict[str, Any]]], None] = lambda gateway, members: None) -> None:
+    def __init__(
+        self,
+        members: Callable[..., list[dict[str, Any]]],
+        told: Callable[[int, list[dict[str, Any]]], None] = lambda gateway, members: None,
+    ) -> None:
         """`members` gives the list, of a gateway where each has a door; `told` hears what each got."""
         self.told = told
         self.doors: Doors | None = None
@@ -53,8 +56,9 @@
             self.revision += 1
             self.changed.notify_all()
 
-    async def serve(self, stream: asyncio.StreamReader, writer: asyncio.StreamWriter,
-                    gateway: int = -1) -> None:
+    async def serve(
+        self, stream: asyncio.StreamReader, writer: asyncio.StreamWriter, gateway: int = -1
+    ) -> None:
         """One keep-alive connection."""
         try:
             while True:
--- a/corkdeal/standin/servers.py
+++ b/corkdeal/standin/servers.py
@@ -193,8 +193,9 @@
                 with contextlib.suppress(RuntimeError):
                     writer.transport.resume_reading()  # type: ignore[attr-defined]
 
-    async def serve(self, stream: asyncio.StreamReader, writer: asyncio.StreamWriter,
-                    gateway: int = -1) -> None:
+    async def serve(
+        self, stream: asyncio.StreamReader, writer: asyncio.StreamWriter, gateway: int = -1
+    ) -> None:
         """One connection, one command at a time."""
         self.open.add(writer)
         reader = Reader(stream)
@@ -207,8 +208,11 @@
                 if self.doors is not None:
                     await self.doors.passage(gateway, writer)
                 done: list[bool] = []
-                reply = await self.answer(words, str(gateway) if gateway >= 0 else "",
-                                          lambda done=done: not done and waited_for(writer))
+                reply = await self.answer(
+                    words,
+                    str(gateway) if gateway >= 0 else "",
+                    lambda done=done: not done and waited_for(writer),
+                )
                 if self.cut:
                     await self.restored.wait()
                 if self.doors is not None:
--- a/corkdeal/succession.py
+++ b/corkdeal/succession.py
@@ -74,8 +74,9 @@
         """A server's record, whole: what is known is not spent."""
         return self.known.server(entry, now)
 
-    def account(self, customer: int, plan: t.Plan, first: int, spread: int,
-                now: float) -> memory.AccountMemory | None:
+    def account(
+        self, customer: int, plan: t.Plan, first: int, spread: int, now: float
+    ) -> memory.AccountMemory | None:
         """The part of an account that was given."""
         m = self.known.account(customer, plan, first, spread, now)
         if m is None:
@@ -84,8 +85,9 @@
         return m._replace(level=m.level * self.part, ceiling=m.ceiling * self.part, demand=0.0)
 
 
-def take_rest(decisions: Gateway, clock: Callable[[], float], first: Given, rest: Rest,
-              part: float) -> Iterator[None]:
+def take_rest(
+    decisions: Gateway, clock: Callable[[], float], first: Given, rest: Rest, part: float
+) -> Iterator[None]:
     """The old life spends no more: its rest, its ledgers and its place among the peers come over, in steps.
 
     All accounts come, those not met here too, so that a third life finds them all. Until the last has come
--- a/corkdeal/wire.py
+++ b/corkdeal/wire.py
@@ -14,12 +14,26 @@
     """A frame that does not follow the wire; the text says what and where."""
 
 
-STATUS = {0: t.Status.OK, 13: t.Status.ERROR, 8: t.Status.FULL, 4: t.Status.TIMEOUT,
-          14: t.Status.CONNECT_FAILED, 10: t.Status.RESET, 1: t.Status.CANCELLED, 9: t.Status.MOOT}
+STATUS = {
+    0: t.Status.OK,
+    13: t.Status.ERROR,
+    8: t.Status.FULL,
+    4: t.Status.TIMEOUT,
+    14: t.Status.CONNECT_FAILED,
+    10: t.Status.RESET,
+    1: t.Status.CANCELLED,
+    9: t.Status.MOOT,
+}
 LIST_KIND = {0: t.ListKind.DELTA, 1: t.ListKind.FULL, 2: t.ListKind.CACHED, 3: t.ListKind.FAILED}
 EFFECT = {"pure": t.Effect.SAFE, "token": t.Effect.KEYED, "side_effect": t.Effect.UNSAFE}
-REPORT_FIELD = {"outstanding": "inflight", "backlog": "queue", "utilization": "util",
-                "recent_ms": "latency_ms", "throughput": "qps", "errors_per_s": "eps"}
+REPORT_FIELD = {
+    "outstanding": "inflight",
+    "backlog": "queue",
+    "utilization": "util",
+    "recent_ms": "latency_ms",
+    "throughput": "qps",
+    "errors_per_s": "eps",
+}
 EVERYONE = 0xFFFFFFFF
 MOST_U32 = 0xFFFFFFFF
 US = 1_000_000
@@ -62,7 +76,7 @@
         if self.at + count > len(self.data):
             raise WireError(f"{what} cut short at byte {self.at} of {len(self.data)}")
         self.at += count
-        return self.data[self.at - count:self.at]
+        return self.data[self.at - count : self.at]
 
 
 U8, U16, U32 = struct.Struct("<B"), struct.Struct("<H"), struct.Struct("<I")
@@ -113,22 +127,31 @@
     return t.RequestClass(
         aim=number(pairs, at + "aim_us", least=1) / US,
         deadline=number(pairs, at + "deadline_us", least=1) / US,
-        worth=number(pairs, at + "points", 1.0), late_share=number(pairs, at + "late_share", 0.0),
+        worth=number(pairs, at + "points", 1.0),
+        late_share=number(pairs, at + "late_share", 0.0),
         effect=word(pairs, at + "semantics", EFFECT, "side_effect"),
         group=word(pairs, at + "group", {g.value: g for g in t.Group}, "all"),
-        window=number(pairs, at + "window_us", 0.0) / US, stream=flag(pairs, at + "streaming"),
-        aim_stretch=number(pairs, at + "aim_stretch", 0.0), name=pairs.get(at + "name", ""))
+        window=number(pairs, at + "window_us", 0.0) / US,
+        stream=flag(pairs, at + "streaming"),
+        aim_stretch=number(pairs, at + "aim_stretch", 0.0),
+        name=pairs.get(at + "name", ""),
+    )
 
 
 def parse_plan(pairs: dict[str, str], at: str) -> t.Plan:
     """One plan of the settings."""
     return t.Plan(
-        rate=number(pairs, at + "quota_rate", 0.0), burst=number(pairs, at + "store_size", 0.0),
-        max_open=int(number(pairs, at + "max_out", 0.0)), price=number(pairs, at + "value_factor", 1.0),
-        over_worth=number(pairs, at + "over_worth", 0.0), over_cost=number(pairs, at + "over_cost", 0.0),
+        rate=number(pairs, at + "quota_rate", 0.0),
+        burst=number(pairs, at + "store_size", 0.0),
+        max_open=int(number(pairs, at + "max_out", 0.0)),
+        price=number(pairs, at + "value_factor", 1.0),
+        over_worth=number(pairs, at + "over_worth", 0.0),
+        over_cost=number(pairs, at + "over_cost", 0.0),
         ceiling_rate=number(pairs, at + "never_over_rate", 0.0),
         ceiling_burst=number(pairs, at + "hard_burst", 0.0),
-        ceiling_slack=number(pairs, at + "ceiling_slack", 0.0), name=pairs.get(at + "name", ""))
+        ceiling_slack=number(pairs, at + "ceiling_slack", 0.0),
+        name=pairs.get(at + "name", ""),
+    )
 
 
 def parse_settings(text: str) -> t.Settings:
@@ -147,7 +170,9 @@
     plans = int(number(pairs, "tiers_of_service.count", least=1))
     gateways, me = int(number(pairs, "balancers", least=1)), int(number(pairs, "me"))
     return t.Settings(
-        me=me, gateways=gateways, zone=int(number(pairs, "zone", 0.0)),
+        me=me,
+        gateways=gateways,
+        zone=int(number(pairs, "zone", 0.0)),
         classes=tuple(parse_class(pairs, f"classes.{i}.") for i in range(count)),
         plans=tuple(parse_plan(pairs, f"tiers_of_service.{i}.") for i in range(plans)),
         tick=number(pairs, "granularity_us", 1000.0) / US,
@@ -155,25 +180,29 @@
         ask_every=number(pairs, "rules.ask_every_us", 10e6) / US,
         report_fields=tuple(REPORT_FIELD.get(f, f) for f in words(pairs, "telemetry.columns")),
         max_attempts=int(number(pairs, "policy_limits.max_attempts", 1.0)),
-        may_cancel=flag(pairs, "policy_limits.cancel"), may_probe=flag(pairs, "policy_limits.may_probe"),
+        may_cancel=flag(pairs, "policy_limits.cancel"),
+        may_probe=flag(pairs, "policy_limits.may_probe"),
         may_tell_peers=flag(pairs, "policy_limits.peers"),
         may_advise_wait=flag(pairs, "policy_limits.retry_after"),
         max_advised_wait=number(pairs, "policy_limits.max_retry_after_us", 0.0) / US,
         marks_retry=flag(pairs, "client_habits.marks_retry"),
         connect_timeout=number(pairs, "policy_limits.connect_timeout_us", 250000.0) / US,
         conn_idle=number(pairs, "policy_limits.conn_idle_us", 30e6) / US,
-        zones=words(pairs, "failure_domains"), kinds=words(pairs, "host_types"),
+        zones=words(pairs, "failure_domains"),
+        kinds=words(pairs, "host_types"),
         counter=flag(pairs, "family_info.counter"),
         counter_timeout=number(pairs, "family_info.counter_timeout_us", 0.0) / US,
         meter_period=number(pairs, "family_info.meter_us", 0.0) / US,
         peer_intake=number(pairs, "family_info.peer_intake", 0.0),
-        settles=flag(pairs, "family_info.post_paid"), most_units=number(pairs, "family_info.units_top", 1.0),
+        settles=flag(pairs, "family_info.post_paid"),
+        most_units=number(pairs, "family_info.units_top", 1.0),
         answer_slack=number(pairs, "rules.answer_slack_us", 0.0) / US,
         drain_grace=number(pairs, "rules.drain_grace_us", 0.0) / US,
         fall_multiple=number(pairs, "rules.fall_multiple", 2.0),
         fall_window=number(pairs, "rules.fall_us", 1e6) / US,
         cold_share=number(pairs, "rules.cold_share", 0.1),
-        warm_within=number(pairs, "rules.warm_within_us", 20e6) / US)
+        warm_within=number(pairs, "rules.warm_within_us", 20e6) / US,
+    )
 
 
 def _known(table: dict[int, Any], code: int, what: str, r: Reader) -> Any:
@@ -211,8 +240,9 @@
     rid, units, first, spread, bits, plan, cls, left, customer = r.take(JOB, "JobIn")
     if not all(map(math.isfinite, (units, first, spread))) or units < 0 or first < 0 or spread < 0:
         raise WireError(f"JobIn makes no sense before byte {r.at}")
-    return t.Request(rid, customer, plan, cls, units, int(first), int(spread), left / US,
-                     bool(bits & 2), bool(bits & 4))
+    return t.Request(
+        rid, customer, plan, cls, units, int(first), int(spread), left / US, bool(bits & 2), bool(bits & 4)
+    )
 
 
 def _flowing(r: Reader, fields: tuple[str, ...]) -> t.StreamStarted:
@@ -222,9 +252,17 @@
 
 def _completed(r: Reader, fields: tuple[str, ...]) -> t.Outcome:
     rid, attempt, server, status, rtt, last, use, final, count = r.take(COMPLETED, "Completed")
-    return t.Outcome(rid, attempt, server, _known(STATUS, status, "outcome", r), rtt / US, bool(last),
-                     (use - 1) / 100 if use else None, float(final) if final else None,
-                     _report(r, count, fields))
+    return t.Outcome(
+        rid,
+        attempt,
+        server,
+        _known(STATUS, status, "outcome", r),
+        rtt / US,
+        bool(last),
+        (use - 1) / 100 if use else None,
+        float(final) if final else None,
+        _report(r, count, fields),
+    )
 
 
 def _health(r: Reader, fields: tuple[str, ...]) -> t.ProbeResult:
@@ -243,10 +281,17 @@
 
 
 PARSERS = {
-    0: _attach, 1: _members, 2: _job, 3: _flowing, 4: _completed,
+    0: _attach,
+    1: _members,
+    2: _job,
+    3: _flowing,
+    4: _completed,
     5: lambda r, f: t.ClientGone(*r.take(GONE, "Dropped")),
     6: lambda r, f: t.TimerDue(*r.take(U32, "Due")),
-    7: _health, 8: _datagram, 9: lambda r, f: PowerOff(), 10: _total,
+    7: _health,
+    8: _datagram,
+    9: lambda r, f: PowerOff(),
+    10: _total,
 }
 
 
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -1,8 +1,8 @@
 """A toy world for one gateway: discovery on 127.0.0.1:8500 and two backends that echo what they are sent.
 
-    python examples/toy.py            # in one terminal
-    make run                          # in another
-    python examples/toy.py ask 8      # in a third: eight requests of one customer, and what became of them
+python examples/toy.py            # in one terminal
+make run                          # in another
+python examples/toy.py ask 8      # in a third: eight requests of one customer, and what became of them
 """
 
 import asyncio
@@ -11,9 +11,19 @@
 import sys
 
 GATEWAY, DISCOVERY, BACKENDS = 6380, 8500, (7001, 7002)
-MEMBERS = [{"id": f"toy-{port}", "host_port": f"127.0.0.1:{port}", "locality": "north-hall",
-            "flavor": "standard", "cell": 0, "phase": "Ready", "size": 1.0, "up_since_ms": 0}
-           for port in BACKENDS]
+MEMBERS = [
+    {
+        "id": f"toy-{port}",
+        "host_port": f"127.0.0.1:{port}",
+        "locality": "north-hall",
+        "flavor": "standard",
+        "cell": 0,
+        "phase": "Ready",
+        "size": 1.0,
+        "up_since_ms": 0,
+    }
+    for port in BACKENDS
+]
 
 
 async def words(reader):
@@ -67,8 +77,12 @@
     """Send requests of one customer, one after the other, and print what is answered."""
     reader, writer = await asyncio.open_connection("127.0.0.1", GATEWAY)
     for i in range(count):
-        command = [b"API.READ", b"%016x" % 42, b"%016x" % (i + 1),
-                   b"c=board-load,t=family,d=3000,units=1,spread=1,first=0"]
+        command = [
+            b"API.READ",
+            b"%016x" % 42,
+            b"%016x" % (i + 1),
+            b"c=board-load,t=family,d=3000,units=1,spread=1,first=0",
+        ]
         writer.write(b"*%d\r\n" % len(command) + b"".join(map(bulk, command)))
         line = (await reader.readline()).decode().strip()
         value = (await reader.readexactly(int(line[1:]) + 2)).decode().strip() if line[0] == "$" else ""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -9,16 +9,27 @@
 
 
 def settings(me=0, gateways=3, classes=(SAFE, UNSAFE), plans=(PLAN,), **more):
-    given = {"max_attempts": 4, "may_cancel": True, "may_tell_peers": True, "peer_intake": 60.0,
-             "may_advise_wait": True, "max_advised_wait": 1.0}
+    given = {
+        "max_attempts": 4,
+        "may_cancel": True,
+        "may_tell_peers": True,
+        "peer_intake": 60.0,
+        "may_advise_wait": True,
+        "max_advised_wait": 1.0,
+    }
     given.update(more)
     return t.Settings(me=me, gateways=gateways, classes=classes, plans=plans, **given)
 
 
 def servers(*names, started=0.0, kind=t.ListKind.FULL, state=t.ServerState.READY, zones=None):
     zones = zones or [0] * len(names)
-    return t.ServerList(kind, tuple(
-        t.ServerEntry(n, state, zone=z, cell=z, started=started) for n, z in zip(names, zones, strict=True)))
+    return t.ServerList(
+        kind,
+        tuple(
+            t.ServerEntry(n, state, zone=z, cell=z, started=started)
+            for n, z in zip(names, zones, strict=True)
+        ),
+    )
 
 
 def request(rid, customer=7, units=1.0, cls=0, patience=3.0, spread=3, first=0, **more):
--- a/tests/membership/test_members.py
+++ b/tests/membership/test_members.py
@@ -148,8 +148,11 @@
     liar, most = tier.gateways[4], 0.0
     lies = ((LEFT, 0, 9), (NEWS, 0, 30000), (NEWS, 5000, 1), (GRANT, 0, 1), (ASK, 0, 1))
     for kind, later_by, ahead in lies * 4:
-        rows = tuple(Row(kind, m, g.born + later_by, (g.members.number + ahead) % 65535 + 1)
-                     for m, g in tier.gateways.items() if m != 4)
+        rows = tuple(
+            Row(kind, m, g.born + later_by, (g.members.number + ahead) % 65535 + 1)
+            for m, g in tier.gateways.items()
+            if m != 4
+        )
         for to in range(4):
             lie = Beat(liar.born, tier.gateways[to].born, liar.members.number, 0, 0, 0, rows)
             tier.flight.append((tier.now, 4, to, beats.pack(lie)))
@@ -205,8 +208,16 @@
 
 starts, numbers = st.integers(1, 2**32 - 1), st.integers(1, 65535)
 rows = st.builds(Row, st.integers(NEWS, GRANT), st.integers(0, 4), starts, numbers)
-words = st.builds(Beat, starts, st.just(0) | starts, numbers, st.just(0) | numbers, st.just(0) | numbers,
-                  st.integers(0, 3), st.lists(rows, max_size=beats.ROWS).map(tuple))
+words = st.builds(
+    Beat,
+    starts,
+    st.just(0) | starts,
+    numbers,
+    st.just(0) | numbers,
+    st.just(0) | numbers,
+    st.integers(0, 3),
+    st.lists(rows, max_size=beats.ROWS).map(tuple),
+)
 
 
 @given(words)
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -27,8 +27,19 @@
             seen[send.server] = seen.get(send.server, 0) + 1
             status = behave(send.server)
             if status is not None:
-                g.handle(now, [outcome(send.id, len(g.requests[send.id].tried) - 1, send.server, status,
-                                       elapsed=0.03, final=True)])
+                g.handle(
+                    now,
+                    [
+                        outcome(
+                            send.id,
+                            len(g.requests[send.id].tried) - 1,
+                            send.server,
+                            status,
+                            elapsed=0.03,
+                            final=True,
+                        )
+                    ],
+                )
     return seen, now
 
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -31,7 +31,8 @@
     "knowledge": DECIDING | {"logs", "options"},
     "standin": DECIDING | {"wire", "options", "logs", "net"},
     "net": DECIDING | {"wire", "logs", "options", "knowledge", "recovery", "membership"},
-    "experiment": DECIDING | {"recovery", "membership", "halls", "wire", "options", "knowledge", "standin"}
+    "experiment": DECIDING
+    | {"recovery", "membership", "halls", "wire", "options", "knowledge", "standin"}
     | {"net", "logs"},
     "cli": {"halls", "options", "knowledge", "net", "experiment", "standin", "logs"},
     "__main__": {"cli"},
--- a/tests/test_net_moments.py
+++ b/tests/test_net_moments.py
@@ -341,8 +341,14 @@
             stub = pathlib.Path(folder, "env")  # stands where `run` begins to become the program
             stub.write_text("#!/bin/sh\nkill -HUP $$\necho lives\n")
             stub.chmod(0o755)
-            done = subprocess.run(["/bin/sh", "-c", run], capture_output=True, text=True, timeout=PATIENCE,
-                                  cwd=ROOT, env={"PATH": f"{folder}:/usr/bin:/bin"})
+            done = subprocess.run(
+                ["/bin/sh", "-c", run],
+                capture_output=True,
+                text=True,
+                timeout=PATIENCE,
+                cwd=ROOT,
+                env={"PATH": f"{folder}:/usr/bin:/bin"},
+            )
         self.assertEqual((done.returncode, done.stdout), (0, "lives\n"))
 
 
--- a/tests/test_net_ops.py
+++ b/tests/test_net_ops.py
@@ -70,8 +70,10 @@
     assert held.enter("a") and not held.enter("a")  # two calls out
     assert held.overlay([entry("a"), entry("b")]) == (entry("a", t.ServerState.DRAINING), entry("b"))
     assert held.exit("a", 50.0) and not held.exit("a", 60.0)  # one call back ends both
-    assert held.overlay([entry("a"), entry("a", started=70.0)]) == (entry("a", started=50.0),
-                                                                    entry("a", started=70.0))
+    assert held.overlay([entry("a"), entry("a", started=70.0)]) == (
+        entry("a", started=50.0),
+        entry("a", started=70.0),
+    )
 
 
 def test_the_next_process_holds_the_same_backends_out(tmp_path):
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -114,7 +114,6 @@
                     (reply.status, reply.value and bytes(reply.value), reply.report), (status, value, report)
                 )
 
-
     def test_replies_that_are_none(self):
         for raw in (
             b"*3\r\n$-1\r\n$-1\r\n$-1\r\n",
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -294,7 +294,6 @@
         self.assertEqual(client.read(), [b"v"])
         self.assertEqual(self.process.wait(20), 0)
 
-
     def test_planned_end_does_not_wait_for_a_command_that_never_comes_whole(self):
         self.start(a={})
         client = self.client()
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -65,23 +65,35 @@
 def test_halls_have_nets_regions_and_distances():
     made = options.parse(HALLS).halls
     assert [(h.name, h.region, h.weight, [n.cidr for n in h.nets]) for h in made.halls] == [
-        ("north", "campus", 1.0, ["10.1.0.0/16", "2001:db8::/32"]), ("east", "campus", 2.0, ["10.2.0.0/16"]),
-        ("south", "town", 1.0, [])]
+        ("north", "campus", 1.0, ["10.1.0.0/16", "2001:db8::/32"]),
+        ("east", "campus", 2.0, ["10.2.0.0/16"]),
+        ("south", "town", 1.0, []),
+    ]
     assert [(d.one, d.other, d.value) for d in made.distances] == [("north", "south", 1.5)]
 
 
-@pytest.mark.parametrize(("old", "new", "line", "column", "node", "said"), [
-    ("10.2.0.0/16", "10.1.0.0/16", 3, 44, "halls.hall.net", "twice; first for north at line 2, column 36"),
-    ("2001:db8::/32", "10.1.2.0/24", 2, 55, "halls.hall.net", "overlaps 10.1.0.0/16 of the same hall"),
-    ("10.2.0.0/16", "10.2.0.1/16", 3, 44, "halls.hall.net", "10.2.0.0/16 is meant"),
-    ('hall "south"', 'hall "east"', 4, 5, "halls.hall", "second time"),
-    ('"north" "south" 1.5', '"north" "west" 1.5', 5, 5, "halls.distance", "there is no hall 'west'"),
-    ("1.5", "1.5 2", 5, 34, "halls.distance", "takes 3 values"),
-    ("weight=2", "weight=0", 3, 40, "halls.hall.weight", "between 0.01 and 100"),
-    ('net "10.2.0.0/16"', "net 3", 3, 48, "halls.hall.net", "must be text"),
-    ('"south" 1.5', '"south"', 5, 5, "halls.distance.value", "must be given"),
-    ('distance "north"', 'near "north"', 5, 5, "halls.near", "known are distance, hall"),
-])
+@pytest.mark.parametrize(
+    ("old", "new", "line", "column", "node", "said"),
+    [
+        (
+            "10.2.0.0/16",
+            "10.1.0.0/16",
+            3,
+            44,
+            "halls.hall.net",
+            "twice; first for north at line 2, column 36",
+        ),
+        ("2001:db8::/32", "10.1.2.0/24", 2, 55, "halls.hall.net", "overlaps 10.1.0.0/16 of the same hall"),
+        ("10.2.0.0/16", "10.2.0.1/16", 3, 44, "halls.hall.net", "10.2.0.0/16 is meant"),
+        ('hall "south"', 'hall "east"', 4, 5, "halls.hall", "second time"),
+        ('"north" "south" 1.5', '"north" "west" 1.5', 5, 5, "halls.distance", "there is no hall 'west'"),
+        ("1.5", "1.5 2", 5, 34, "halls.distance", "takes 3 values"),
+        ("weight=2", "weight=0", 3, 40, "halls.hall.weight", "between 0.01 and 100"),
+        ('net "10.2.0.0/16"', "net 3", 3, 48, "halls.hall.net", "must be text"),
+        ('"south" 1.5', '"south"', 5, 5, "halls.distance.value", "must be given"),
+        ('distance "north"', 'near "north"', 5, 5, "halls.near", "known are distance, hall"),
+    ],
+)
 def test_a_fault_of_halls_is_told_with_its_place(old, new, line, column, node, said):
     assert old in HALLS
     with pytest.raises(options.OptionsError) as caught:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -13,13 +13,16 @@
     return quotas.Customer(number, plan, 0, 2, quotas.CALM, 1.0, **more)
 
 
-@pytest.mark.parametrize("plan, sent, inside, beyond", [
-    (RATE, [(0, 2), (0, 2), (0, 2)], 6, 0),  # the store holds six
-    (RATE, [(0, 4), (0, 4), (0, 2)], 6, 4),  # what is beyond takes nothing from it
-    (RATE, [(0, 6), (1, 2), (1, 1)], 8, 1),  # it fills by two a second
-    (RATE, [(0, 6), (9, 6), (9, 1)], 12, 1),  # and never holds more than at the start
-    (OPEN, [(0, 1), (0, 1), (0, 1)], 2, 1),  # two out at the most
-])
+@pytest.mark.parametrize(
+    "plan, sent, inside, beyond",
+    [
+        (RATE, [(0, 2), (0, 2), (0, 2)], 6, 0),  # the store holds six
+        (RATE, [(0, 4), (0, 4), (0, 2)], 6, 4),  # what is beyond takes nothing from it
+        (RATE, [(0, 6), (1, 2), (1, 1)], 8, 1),  # it fills by two a second
+        (RATE, [(0, 6), (9, 6), (9, 1)], 12, 1),  # and never holds more than at the start
+        (OPEN, [(0, 1), (0, 1), (0, 1)], 2, 1),  # two out at the most
+    ],
+)
 def test_what_is_inside_and_beyond_a_quota(plan, sent, inside, beyond):
     judge, c = quotas.Judge((plan,)), customer(store=plan.burst)
     for at, units in sent:
--- a/tests/test_resolver.py
+++ b/tests/test_resolver.py
@@ -39,6 +39,7 @@
         def answer():
             self.watching[watch] = self.clock.seconds()
             done.callback(resolver.ResolverResult(3, watch.revision is None, (), {}))
+
         self.clock.callLater(wait, answer)
 
 
@@ -130,8 +131,9 @@
 @pytest.mark.parametrize("head_after", [0.0, 1.5, 2.9])
 def test_head_and_body_of_an_answer_together_have_the_time_of_one_call(head_after):
     clock, told = Clock(), []
-    watch = resolver.Watch(clock, ("127.0.0.1", 1), settings(drain_grace=0.25), told.append, HELD,
-                           random.Random(1))
+    watch = resolver.Watch(
+        clock, ("127.0.0.1", 1), settings(drain_grace=0.25), told.append, HELD, random.Random(1)
+    )
     watch.agent = agent = Halved(clock, head_after)
     watch.run()
     advance(clock, 20.0)
@@ -143,8 +145,9 @@
 
 def test_a_pushed_list_is_asked_for_again_within_the_grace_of_a_drain():
     clock = Clock()
-    watch = resolver.Watch(clock, ("127.0.0.1", 1), settings(drain_grace=0.25), lambda _: None, HELD,
-                           random.Random(1))
+    watch = resolver.Watch(
+        clock, ("127.0.0.1", 1), settings(drain_grace=0.25), lambda _: None, HELD, random.Random(1)
+    )
     calls = []
 
     def call():  # refused at once, for as long as discovery is down
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -24,8 +24,15 @@
     assert len(pick(actions, t.Send)) == 1 and timer.delay < 0.5
     late = g.handle(101.0 + timer.delay, [t.TimerDue(timer.token)])
     assert pick(late, t.Fail) == [t.Fail(1)] and not pick(late, t.Refuse)
-    again = g.handle(101.6, [t.TimerDue(timer.token), t.ClientGone(1), t.ClientGone(1),
-                             outcome(1, 0, "a", t.Status.CANCELLED, final=True)])
+    again = g.handle(
+        101.6,
+        [
+            t.TimerDue(timer.token),
+            t.ClientGone(1),
+            t.ClientGone(1),
+            outcome(1, 0, "a", t.Status.CANCELLED, final=True),
+        ],
+    )
     assert not pick(again, (t.Fail, t.Refuse, t.Send))
 
 
@@ -47,8 +54,15 @@
     assert pick(g.handle(102.1, [servers("a"), t.TimerDue(0)]), t.Send)
 
 
-@pytest.mark.parametrize("status, again", [
-    (t.Status.CONNECT_FAILED, True), (t.Status.FULL, True), (t.Status.ERROR, False), (t.Status.RESET, False)])
+@pytest.mark.parametrize(
+    "status, again",
+    [
+        (t.Status.CONNECT_FAILED, True),
+        (t.Status.FULL, True),
+        (t.Status.ERROR, False),
+        (t.Status.RESET, False),
+    ],
+)
 def test_unsafe_runs_once(status, again):
     g, _ = gateway(servers("a", "b"))
     sent = pick(g.handle(101.0, [request(1, cls=1)]), t.Send)[0]
@@ -77,8 +91,12 @@
     while out:
         assert len(out) == 1
         sends += 1
-        out = pick(g.handle(101.0 + sends / 100, [
-            outcome(1, sends - 1, out[0].server, t.Status.ERROR, elapsed=0.01)]), t.Send)
+        out = pick(
+            g.handle(
+                101.0 + sends / 100, [outcome(1, sends - 1, out[0].server, t.Status.ERROR, elapsed=0.01)]
+            ),
+            t.Send,
+        )
     assert sends == 4
 
 
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -116,16 +116,25 @@
 def test_rows_compare_arms_of_one_seed():
     def run(seed, arm, served, beyond):
         window = {
-            "length": 5.0, "asked": 200.0, "served": served, "asked_there": 100.0,
-            "served_there": served / 2, "beyond": beyond, "to_slow": beyond,
+            "length": 5.0,
+            "asked": 200.0,
+            "served": served,
+            "asked_there": 100.0,
+            "served_there": served / 2,
+            "beyond": beyond,
+            "to_slow": beyond,
         }
         return {"seed": seed, "arm": arm, "windows": [window]}
 
-    runs = [run(s, arm, served + s, beyond) for s in (1, 2) for arm, served, beyond in (
-        ("calm", 180, 1), ("forgets", 160, 11), ("knows", 175, 3))]
+    runs = [
+        run(s, arm, served + s, beyond)
+        for s in (1, 2)
+        for arm, served, beyond in (("calm", 180, 1), ("forgets", 160, 11), ("knows", 175, 3))
+    ]
     rows = {r["what"]: r for r in summary.restart_rows(runs)}
     assert rows["worth served in time, all gateways"]["forgets"][0] == pytest.approx(10.0)
     assert rows["worth served in time, all gateways"]["saved_share"] == pytest.approx(0.75)
     assert rows["units let in beyond quotas"]["knows"] == (2.0, 0.0)
     assert "| 5 s | units let in beyond quotas, units | 10.00 ± 0.00 | 2.00 ± 0.00 |" in summary.markdown(
-        list(rows.values()))
+        list(rows.values())
+    )
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -78,8 +78,10 @@
         between()
 
 
-STEPS = st.lists(st.tuples(st.sampled_from(["old", "new", "old", "wait", "give", "rest", "kill"]),
-                           st.floats(0.0, 1.5)), max_size=60)
+STEPS = st.lists(
+    st.tuples(st.sampled_from(["old", "new", "old", "wait", "give", "rest", "kill"]), st.floats(0.0, 1.5)),
+    max_size=60,
+)
 
 
 @pytest.fixture(autouse=True, scope="module")
--- a/tests/test_wide.py
+++ b/tests/test_wide.py
@@ -19,8 +19,10 @@
 
     def __init__(self, spread, gateways, first=0, plan=PLAN, lose=0, repeat=1):
         self.set = (first, spread)
-        self.gateways = {m: Gateway(settings(m, gateways, plans=(plan,), classes=(SAFE,)), seed=m)
-                         for m in ((first + i) % gateways for i in range(spread))}
+        self.gateways = {
+            m: Gateway(settings(m, gateways, plans=(plan,), classes=(SAFE,)), seed=m)
+            for m in ((first + i) % gateways for i in range(spread))
+        }
         self.lose, self.repeat, self.flight, self.now, self.rid = lose, repeat, [], 50.0, 0
         self.timers, self.chance = [], random.Random(3)
         for m, g in self.gateways.items():
@@ -30,8 +32,9 @@
         self.timers += [(self.now + x.delay, me) for x in pick(actions, t.SetTimer) if not x.token]
         for tell in pick(actions, t.Tell):
             if self.chance.random() >= self.lose:
-                self.flight += [(self.now + 0.02 * (1 + i), me, tell.peer, tell.payload)
-                                for i in range(self.repeat)]
+                self.flight += [
+                    (self.now + 0.02 * (1 + i), me, tell.peer, tell.payload) for i in range(self.repeat)
+                ]
 
     def step(self, seconds):
         self.now += seconds
@@ -63,8 +66,10 @@
         return let_in
 
 
-@pytest.mark.parametrize("spread, gateways, first", [
-    (9, 12, 8), (9, 9, 0), (130, 130, 77), (130, 400, 350), (400, 412, 200), (110, 200, 150)])
+@pytest.mark.parametrize(
+    "spread, gateways, first",
+    [(9, 12, 8), (9, 9, 0), (130, 130, 77), (130, 400, 350), (400, 412, 200), (110, 200, 150)],
+)
 @pytest.mark.parametrize("customer", [0, 7, 8, 1_000_005])
 def test_every_member_is_reached_in_two_steps_from_one_collecting_point(spread, gateways, first, customer):
     ways = {me: wide.ways(me, customer, first, spread, gateways) for me in range(gateways)}
@@ -78,14 +83,19 @@
     members = {(first + i) % gateways for i in range(spread)}
     assert members <= reached == set(edges)
     assert sum(map(len, edges.values())) == 2 * (len(edges) - 1)  # a tree: nothing is counted twice
-    assert max(map(len, edges.values())) <= 3 * gateways ** 0.5
+    assert max(map(len, edges.values())) <= 3 * gateways**0.5
     assert peers.shares_trees(spread, gateways) or set(edges) == members
 
 
 @pytest.mark.parametrize("gateways", [200, 208, 220, 400, 1000])
 def test_the_load_of_passing_on_is_spread(gateways):
-    parts = [me for way in range(wide.HUBS) for me in range(gateways)
-             for up, ends in [wide.ways(me, way, 0, gateways, gateways)] if up is None or len(ends) > 1]
+    parts = [
+        me
+        for way in range(wide.HUBS)
+        for me in range(gateways)
+        for up, ends in [wide.ways(me, way, 0, gateways, gateways)]
+        if up is None or len(ends) > 1
+    ]
     assert max(parts.count(me) for me in parts) <= 2
     assert len(set(parts)) >= 0.9 * len(parts)  # hardly any gateway leads or collects on two ways
 
@@ -151,9 +161,18 @@
     return peers.pack_totals(9, [peers.Totals(7, plan, first, spread, 5, 5)])[0]
 
 
-@pytest.mark.parametrize("payload", [
-    b"", bytes([peers.TOTALS_VERSION]), totals()[:-1], totals(plan=9), totals(first=200, spread=30),
-    totals(spread=131), totals(first=50, spread=20)])
+@pytest.mark.parametrize(
+    "payload",
+    [
+        b"",
+        bytes([peers.TOTALS_VERSION]),
+        totals()[:-1],
+        totals(plan=9),
+        totals(first=200, spread=30),
+        totals(spread=131),
+        totals(first=50, spread=20),
+    ],
+)
 def test_foreign_and_malformed_totals_change_nothing(payload):
     g = Gateway(settings(3, 130, plans=(PLAN,)), seed=1)
     g.handle(50.0, [servers("a")])
@@ -200,8 +219,10 @@
 def test_cold_servers_are_used_and_the_sum_keeps_the_rule(gateways):
     more = {"cold_share": 0.16, "warm_within": 18.0, "fall_multiple": 2.0, "fall_window": 1.5}
     wide = t.Plan(rate=1e6, burst=1e6)
-    all_of_them = [Gateway(settings(m, gateways, plans=(wide,), classes=(SAFE,), **more), seed=m)
-                   for m in range(gateways)]
+    all_of_them = [
+        Gateway(settings(m, gateways, plans=(wide,), classes=(SAFE,), **more), seed=m)
+        for m in range(gateways)
+    ]
     sent = 0
     for g in all_of_them:
         g.handle(100.0, [servers("new", started=100.0)])
--- a/tests/tier/test_tier.py
+++ b/tests/tier/test_tier.py
@@ -87,7 +87,7 @@
 
 def test_a_gateway_that_no_other_hears_loses_its_slices_and_one_that_ends_has_left(tmp_path):
     made, seen = play(
-        SMALL.replace("gateways=3", "gateways=4") + 'membership=true seconds=12.0\n'
+        SMALL.replace("gateways=3", "gateways=4") + "membership=true seconds=12.0\n"
         'at 1.0 { link sender="0" to="all" cut=true both=true seconds=8.0; }\nat 10.0 { term "2"; }',
         tmp_path,
     )
