--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 	$(BIN)/python -m pytest
 
 lint: dev
+	$(BIN)/ruff format --check corkdeal tests examples benchmarks
 	$(BIN)/ruff check corkdeal tests examples benchmarks
 
 run: build
