Rename subchannel to backend_connection, with its class, counts and pages

The field's name for a gateway's connection to a backend. Counts subchannel_* are backend_connection_* in the log.

--- a/corkdeal/net/subchannel.py
+++ b/corkdeal/net/backend_connection.py
@@ -36,7 +36,7 @@
     sent_at: float
     until: float
     parts: list[gather.Part]
-    conn: Subchannel | None = None
+    conn: BackendConnection | None = None
     over: bool = False
     first: float | None = None  # s from sending it to the first byte of a long answer, once that is passed on
 
@@ -51,7 +51,7 @@
         )
 
 
-class Subchannel(LineReceiver):
+class BackendConnection(LineReceiver):
     """One connection to a backend: a LineReceiver in raw mode; giving up its attempt ends it."""
 
     line_mode = 0
@@ -98,7 +98,7 @@
         """The answer; bytes that nobody asked for end the connection."""
         if self.attempt is None:
             if not self.ended:
-                count("subchannel_unasked")
+                count("backend_connection_unasked")
                 self.close()
             return
         if self.passage is not None:
@@ -129,7 +129,7 @@
             self.passage.finish()
         self.attempt = self.passage = None
         if self.parser.midway or self.sender:
-            count("subchannel_answered_early" if self.sender else "subchannel_unasked")
+            count("backend_connection_answered_early" if self.sender else "backend_connection_unasked")
             self.close()
         else:
             self.pool.keep(self)
@@ -155,7 +155,7 @@
     def spoilt(self, attempt: Attempt) -> None:
         """No sound answer came, or not the whole of one; the attempt may have run."""
         if not attempt.over:
-            count("subchannel_malformed")
+            count("backend_connection_malformed")
             self.pool.give_up(attempt, t.Status.RESET)
 
     def clean(self) -> bool:
@@ -165,9 +165,9 @@
         except BlockingIOError:
             return True
         except OSError:
-            count("subchannel_broken_while_idle")
+            count("backend_connection_broken_while_idle")
             return False
-        count("subchannel_unasked")
+        count("backend_connection_unasked")
         return False
 
     def close(self) -> None:
@@ -205,15 +205,15 @@
 
 
 class Dial(ClientFactory):
-    """Opens one subchannel."""
+    """Opens one backend connection."""
 
     noisy = False
 
-    def __init__(self, conn: Subchannel) -> None:
+    def __init__(self, conn: BackendConnection) -> None:
         self.conn = conn
 
-    def buildProtocol(self, addr: Any) -> Subchannel:
-        """The subchannel that was waiting for it."""
+    def buildProtocol(self, addr: Any) -> BackendConnection:
+        """The backend connection that was waiting for it."""
         return self.conn
 
     def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
@@ -222,7 +222,7 @@
 
 
 class Pool:
-    """All subchannels, by backend; `finished` hears how each attempt ended, exactly once.
+    """All backend connections, by backend; `finished` hears how each attempt ended, exactly once.
 
     `passing` hears of the first bytes of a long answer, and tells whether somebody waits for it. `room` tells
     whether the process can spare a descriptor for one more.
@@ -245,8 +245,8 @@
         self.connect_timeout = min(settings.connect_timeout, CONNECT_PART * aim)
         self.idle_limit = settings.conn_idle * IDLE_PART
         self.addresses: dict[str, tuple[str, int]] = {}
-        self.idle: dict[str, list[Subchannel]] = {}
-        self.open: set[Subchannel] = set()
+        self.idle: dict[str, list[BackendConnection]] = {}
+        self.open: set[BackendConnection] = set()
         self.opened = 0  # since the start
         self.turn: Callable[[], bool] | None = None  # called before a write: whether the process stood still
 
@@ -263,12 +263,13 @@
                 return conn.begin(attempt)
             conn.close()
         if (at := self.addresses.get(attempt.server)) is None:
-            count("subchannel_without_address")
+            count("backend_connection_without_address")
             return self.finish(attempt, Reply(t.Status.CONNECT_FAILED))
         if (len(self.open) >= self.most or not self.room()) and not self.make_room():
-            count("subchannel_none_left")  # this gateway's own shortage, which says nothing of the backend
+            # this gateway's own shortage, which says nothing of the backend
+            count("backend_connection_none_left")
             return self.finish(attempt, Reply(t.Status.MOOT))
-        conn = Subchannel(self, attempt.server, attempt)
+        conn = BackendConnection(self, attempt.server, attempt)
         self.open.add(conn)
         self.opened += 1
         conn.connector = self.reactor.connectTCP(*at, Dial(conn), timeout=self.connect_timeout)
@@ -284,14 +285,14 @@
             min(spare, key=lambda c: c.idle_since).close()
         return bool(spare)
 
-    def keep(self, conn: Subchannel) -> None:
+    def keep(self, conn: BackendConnection) -> None:
         """Hold a connection for the next attempt, unless its backend has left the list meanwhile."""
         if conn.server not in self.addresses:
             return conn.close()
         conn.idle_since = self.now()
         self.idle.setdefault(conn.server, []).append(conn)
 
-    def forget(self, conn: Subchannel) -> None:
+    def forget(self, conn: BackendConnection) -> None:
         """Let go of a connection that has ended."""
         self.open.discard(conn)
         if conn in (spare := self.idle.get(conn.server, [])):
@@ -324,7 +325,7 @@
         if not ready or moved:
             self.close_idle(server)
             for conn in [c for c in self.open if c.server == server and not c.up and c.attempt]:
-                count("subchannel_drained_while_connecting")
+                count("backend_connection_drained_while_connecting")
                 self.give_up(conn.attempt, t.Status.CONNECT_FAILED)
 
     def sweep(self) -> None:
--- a/corkdeal/net/backends.py
+++ b/corkdeal/net/backends.py
@@ -8,9 +8,9 @@
 from collections.abc import Callable
 
 from .. import interface as t
+from .backend_connection import Pool
 from .handheld import Handheld
 from .resolver import ResolverResult
-from .subchannel import Pool
 
 
 class Backends:
--- a/corkdeal/net/body.py
+++ b/corkdeal/net/body.py
@@ -97,7 +97,7 @@
 
 
 class Sender:
-    """Writes a long command as its backend takes it: a pull producer of a subchannel's transport."""
+    """Writes a long command as its backend takes it: a pull producer of a backend connection's transport."""
 
     def __init__(self, transport: Any, parts: list[Any], done: Any) -> None:
         self.transport, self.done = transport, done
@@ -122,8 +122,8 @@
                 self.transport.unregisterProducer()
                 self.done()
             elif not gather.write(self.transport, batch):
-                self.over = True  # it never came whole, which its subchannel goes by
+                self.over = True  # it never came whole, which its backend connection goes by
 
     def stopProducing(self) -> None:
-        """The connection has ended; its subchannel hears of that."""
+        """The connection has ended; its backend connection hears of that."""
         self.over = True
--- a/corkdeal/net/descriptors.py
+++ b/corkdeal/net/descriptors.py
@@ -1,4 +1,4 @@
-"""Shares the descriptors between channels and subchannels, and ends channels that hold one for nothing."""
+"""Shares descriptors between clients and backends; ends client connections that hold one for nothing."""
 
 from __future__ import annotations
 
@@ -23,15 +23,15 @@
         self.pool: Any = None
 
     def for_pool(self) -> int:
-        """What channels leave to subchannels however many clients come: an eighth, and room to grow."""
+        """What is left to backend connections however many clients come: an eighth, and room to grow."""
         return max(self.most // 8, len(self.pool.open) + self.most // 16)
 
     def for_channel(self) -> bool:
         """Whether a channel that has just been accepted may stay; one that is of less use goes for it."""
         return len(self.channels) + self.for_pool() <= self.most or self.evict()
 
-    def for_subchannel(self) -> bool:
-        """Whether one more subchannel may be opened."""
+    def for_backend_connection(self) -> bool:
+        """Whether one more backend connection may be opened."""
         return len(self.channels) + len(self.pool.open) < self.most or self.evict()
 
     def evict(self) -> bool:
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -16,6 +16,7 @@
 from ..brain import NEVER_RAN
 from ..brain import Gateway as Decisions
 from . import channel, invariants
+from .backend_connection import Attempt, Pool, Reply
 from .backends import Backends
 from .budget import Budget, budget_for
 from .config import Config, ConfigError, load, text_of
@@ -28,7 +29,6 @@
 from .resolver import ResolverResult, Watch
 from .resp import command, report_of
 from .rpc import RPC, Reader
-from .subchannel import Attempt, Pool, Reply
 from .timers import Timers
 
 if TYPE_CHECKING:
@@ -48,7 +48,7 @@
 
 
 class Gateway:
-    """One gateway: the module's decisions between channels and subchannels."""
+    """One gateway: the module's decisions between channels and backend connections."""
 
     def __init__(self, reactor: Any, config: Config) -> None:
         self.reactor, self.config, self.settings = reactor, config, config.settings
@@ -64,7 +64,7 @@
             config.sockets // 2,
             self.now,
             self.finished,
-            self.descriptors.for_subchannel,
+            self.descriptors.for_backend_connection,
             self.passing,
             self.budget,
         )
@@ -213,7 +213,7 @@
             self.watch = self.watch_at(self.config.discovery, self.config.known)
 
     def reload(self) -> None:
-        """SIGHUP: check the file whole, then move the watch; RPCs, channels and subchannels go on."""
+        """SIGHUP: check the file whole, then move the watch; requests and connections go on."""
         if self.ending:
             return  # the watch has stopped for good
         try:
@@ -290,7 +290,7 @@
         self.reactor.stop()
 
     def sweep(self) -> None:
-        """Retire idle channels and subchannels now and then; see what another life was told by hand."""
+        """Retire idle connections now and then; see what another life was told by hand."""
         self.reactor.callLater(SWEEP_EVERY, self.sweep)  # first: whatever fails here, the next look comes
         self.operators.follow()
         self.pool.sweep()
--- a/corkdeal/net/passage.py
+++ b/corkdeal/net/passage.py
@@ -1,4 +1,4 @@
-"""A long answer on its way: its bytes go on from the subchannel to the channel as they come.
+"""A long answer on its way: its bytes go on from the backend connection to the channel as they come.
 
 From its first byte on the attempt is final. Nothing is kept here: while the client does not take what was
 written, or an answer before this one is not through, the backend's side is not read. A backend that breaks
@@ -15,16 +15,16 @@
 from .resp import Frame, Malformed, past
 
 if TYPE_CHECKING:
-    from .subchannel import Attempt, Subchannel
+    from .backend_connection import Attempt, BackendConnection
 
 GIVE_STALL = 5.0  # s without a byte from a backend that is read, after which its answer is given up
 TAKE_STALL = 5.0  # s without a byte taken by the client, after which its connection is ended
 
 
 class Passage:
-    """One long answer between its subchannel and its channel."""
+    """One long answer between its backend connection and its channel."""
 
-    def __init__(self, conn: Subchannel, attempt: Attempt, frame: Frame) -> None:
+    def __init__(self, conn: BackendConnection, attempt: Attempt, frame: Frame) -> None:
         """`frame` is the answer up to the content of its first long value; another form is malformed."""
         items = frame.items
         check_head(items[0].kind, items[0].size)
--- a/corkdeal/net/resolver.py
+++ b/corkdeal/net/resolver.py
@@ -1,4 +1,4 @@
-"""Discovery's list of subchannels: how a resolver result is read, and the watch that fetches it."""
+"""Discovery's list of backends: how a resolver result is read, and the watch that fetches it."""
 
 from __future__ import annotations
 
--- a/corkdeal/net/rpc.py
+++ b/corkdeal/net/rpc.py
@@ -1,4 +1,4 @@
-"""An RPC: how a command becomes the module's request, and how it is written out again to a subchannel."""
+"""An RPC: how a command becomes the module's request, and how it is written out again to a backend."""
 
 from __future__ import annotations
 
@@ -56,7 +56,7 @@
     body: Any = None  # the command's own long value
 
     def parts(self, wait: float) -> list[bytes | memoryview]:
-        """The command for a subchannel: all as it came, but `d` says how long this gateway waits."""
+        """The command for a backend connection: all as it came, but `d` says how long this gateway waits."""
         buf, params = memoryview(self.frame.buf), self.frame.items[PARAMS]
         first, last = self.frame.items[0], self.frame.items[-1]
         left = buf[params.start : params.start + self.wait_at]
--- a/corkdeal/net/timers.py
+++ b/corkdeal/net/timers.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from .subchannel import Attempt
+from .backend_connection import Attempt
 
 
 class Timers:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -14,7 +14,7 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from corkdeal import interface as t
-from corkdeal.net import answers, body, config, gateway, invariants, passage, resp, subchannel
+from corkdeal.net import answers, backend_connection, body, config, gateway, invariants, passage, resp
 from corkdeal.net.budget import Budget
 from corkdeal.net.resp import WHOLE, command
 
@@ -222,12 +222,12 @@
 ENDS = [  # what the backend gives, what happens then, its outcome, a count, whether the client is cut off
     ([HEAD + VALUE[:90000], None], t.Status.RESET, "answer_cut_off", True),
     ([HEAD + VALUE[:90000], passage.GIVE_STALL], t.Status.RESET, "answer_stalled", True),
-    ([HEAD + VALUE[:-2] + b"xx"], t.Status.RESET, "subchannel_malformed", True),
-    ([HEAD + VALUE + TAIL + b"+more\r\n"], t.Status.OK, "subchannel_unasked", False),
-    ([HEAD + VALUE + b"junk\r\n"], t.Status.RESET, "subchannel_malformed", False),
-    ([HEAD + bulk(1) + VALUE], t.Status.RESET, "subchannel_malformed", False),
-    ([HEAD + b"*2\r\n:1\r\n" + VALUE], t.Status.RESET, "subchannel_malformed", False),
-    ([HEAD + b"$%d\r\n" % (resp.MOST_VALUE + 1)], t.Status.RESET, "subchannel_malformed", False),
+    ([HEAD + VALUE[:-2] + b"xx"], t.Status.RESET, "backend_connection_malformed", True),
+    ([HEAD + VALUE + TAIL + b"+more\r\n"], t.Status.OK, "backend_connection_unasked", False),
+    ([HEAD + VALUE + b"junk\r\n"], t.Status.RESET, "backend_connection_malformed", False),
+    ([HEAD + bulk(1) + VALUE], t.Status.RESET, "backend_connection_malformed", False),
+    ([HEAD + b"*2\r\n:1\r\n" + VALUE], t.Status.RESET, "backend_connection_malformed", False),
+    ([HEAD + b"$%d\r\n" % (resp.MOST_VALUE + 1)], t.Status.RESET, "backend_connection_malformed", False),
 ]
 
 
@@ -294,10 +294,10 @@
 def test_a_probe_has_no_long_answer():
     pair = Pair()
     pool = pair.gateway.pool
-    pool.send(subchannel.Attempt(None, 0, "a", 0.0, 9.0, [b"x"]))
+    pool.send(backend_connection.Attempt(None, 0, "a", 0.0, 9.0, [b"x"]))
     conn, _ = pair.back()
     conn.dataReceived(VALUE)
-    assert conn.ended and invariants.counts["subchannel_malformed"] == 1
+    assert conn.ended and invariants.counts["backend_connection_malformed"] == 1
     assert [e.status for e in pair.heard if isinstance(e, t.ProbeResult)] == [t.Status.RESET]
     assert dataclasses.is_dataclass(answers.Reply)
 
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -12,8 +12,8 @@
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 from corkdeal import interface as t
+from corkdeal.net import backend_connection, config, gateway, invariants, resolver, resp, rpc
 from corkdeal.net import channel as channel_module
-from corkdeal.net import config, gateway, invariants, resolver, resp, rpc, subchannel
 from corkdeal.net import descriptors as descriptors_module
 
 from .net_world import ROOT, SETTINGS
@@ -109,7 +109,7 @@
             with self.subTest(raw):
                 parser = resp.Parser()
                 parser.feed(raw)
-                reply = subchannel.read_reply(parser.next())
+                reply = backend_connection.read_reply(parser.next())
                 self.assertEqual(
                     (reply.status, reply.value and bytes(reply.value), reply.report), (status, value, report)
                 )
@@ -129,7 +129,7 @@
             with self.subTest(raw), self.assertRaises(resp.Malformed):
                 parser = resp.Parser()
                 parser.feed(raw)
-                subchannel.read_reply(parser.next())
+                backend_connection.read_reply(parser.next())
 
 
 class Requests(unittest.TestCase):
@@ -386,7 +386,7 @@
     def test_a_shortage_of_descriptors_says_nothing_of_a_backend(self):
         pool, _ = self.dial()
         pool.room = lambda: False
-        pool.send(subchannel.Attempt(None, 0, "a", 0.0, 9.0, [b"x"]))
+        pool.send(backend_connection.Attempt(None, 0, "a", 0.0, 9.0, [b"x"]))
         self.assertEqual(self.ended, [t.Status.MOOT])
 
     def test_an_exception_in_the_module_costs_its_request_only(self):
@@ -414,11 +414,11 @@
         self.ended = []
         hear = lambda attempt, reply: self.ended.append(reply.status)  # noqa: E731
         yes = lambda *_: True  # noqa: E731
-        pool = subchannel.Pool(
+        pool = backend_connection.Pool(
             self.reactor, self.gateway.settings, 1, self.reactor.seconds, hear, yes, yes, self.gateway.budget
         )
         pool.told("a", True, ("127.0.0.1", 1))
-        pool.send(attempt := subchannel.Attempt(None, 0, "a", 0.0, 9.0, [b"x"]))
+        pool.send(attempt := backend_connection.Attempt(None, 0, "a", 0.0, 9.0, [b"x"]))
         return pool, attempt
 
     def up(self):
@@ -453,16 +453,18 @@
         connection, transport = self.up()
         connection.dataReceived(b"+PONG\r\n")
         self.assertEqual(self.ended, [t.Status.OK])
-        self.reactor.advance(2 * subchannel.SETTLE)
-        pool.send(subchannel.Attempt(None, 0, "a", 0.0, 9.0, [b"y"]))
+        self.reactor.advance(2 * backend_connection.SETTLE)
+        pool.send(backend_connection.Attempt(None, 0, "a", 0.0, 9.0, [b"y"]))
         self.assertEqual((transport.value(), len(self.reactor.tcpClients)), (b"xy", 1))
-        pool.send(subchannel.Attempt(None, 0, "a", 0.0, 9.0, [b"z"]))  # one connection is the most here
+        pool.send(
+            backend_connection.Attempt(None, 0, "a", 0.0, 9.0, [b"z"])
+        )  # one connection is the most here
         self.assertEqual(self.ended[-1], t.Status.MOOT)
         connection.dataReceived(b"+PONG\r\n")
         self.reactor.advance(self.gateway.settings.conn_idle - 1)
         pool.sweep()
         self.assertEqual(pool.open, set())
-        pool.send(subchannel.Attempt(None, 0, "a", 0.0, 9.0, [b"y"]))
+        pool.send(backend_connection.Attempt(None, 0, "a", 0.0, 9.0, [b"y"]))
         self.assertEqual(len(self.reactor.tcpClients), 2)
 
     def test_what_lies_in_a_warm_connection_answers_no_rpc(self):
@@ -470,11 +472,11 @@
         pool.most = 9
         connection, transport = self.up()
         connection.dataReceived(b"+PONG\r\n")
-        pool.send(subchannel.Attempt(None, 0, "a", 0.0, 9.0, [b"y"]))
+        pool.send(backend_connection.Attempt(None, 0, "a", 0.0, 9.0, [b"y"]))
         self.assertEqual(len(self.reactor.tcpClients), 2)  # it has not settled: a second copy may follow
-        self.reactor.advance(2 * subchannel.SETTLE)
+        self.reactor.advance(2 * backend_connection.SETTLE)
         transport.recv = lambda n, flags: b"*"  # it lies there, and no event has told of it
-        pool.send(subchannel.Attempt(None, 0, "a", 0.0, 9.0, [b"z"]))
+        pool.send(backend_connection.Attempt(None, 0, "a", 0.0, 9.0, [b"z"]))
         self.assertEqual((len(self.reactor.tcpClients), transport.value()), (3, b"x"))
 
     def test_an_answer_that_is_none_fails_at_its_head_and_one_that_stalls_soon(self):
@@ -482,8 +484,8 @@
             (b"*2\r\n", 0.0),
             (b"$9\r\n", 0.0),
             (b"*3\r\n$3000000000\r\n", 0.0),
-            (b"*3\r\n$9\r\nabc", subchannel.REPLY_STALL),
-            (b"-ERR with no end", subchannel.REPLY_STALL),
+            (b"*3\r\n$9\r\nabc", backend_connection.REPLY_STALL),
+            (b"-ERR with no end", backend_connection.REPLY_STALL),
         ):
             with self.subTest(data):
                 pool, attempt = self.dial()
