--- a/corkdeal/net/body.py
+++ b/corkdeal/net/body.py
@@ -16,7 +16,7 @@
 from .invariants import count
 
 if TYPE_CHECKING:
-    from .channel import Channel
+    from .client_connection import ClientConnection
     from .rpc import RPC
 
 SMALL = 4096  # bytes; shorter pieces are put together: each one costs an object and a part of a write
@@ -29,13 +29,13 @@
 class Body:
     """One command's long value; a holder of the budget. Without an RPC it is read past."""
 
-    def __init__(self, budget: Budget, channel: Channel, rpc: RPC | None) -> None:
-        self.budget, self.channel, self.rpc = budget, channel, rpc
+    def __init__(self, budget: Budget, client_connection: ClientConnection, rpc: RPC | None) -> None:
+        self.budget, self.client_connection, self.rpc = budget, client_connection, rpc
         self.pieces: list[Any] = []
         self.kept = 0  # bytes kept, for the budget
         self.came = self.looked_at = 0  # bytes so far, and at the last look
         self.waits: float | None = None  # since when it has waited for room, on the gateway's clock
-        self.over = False  # all of it has come, or its channel has ended
+        self.over = False  # all of it has come, or its client connection has ended
         self.look_later()
         if rpc is not None:
             budget.join(self)
@@ -66,32 +66,32 @@
 
     def hold_back(self) -> None:
         """There is no room: its client is not read on."""
-        self.waits = self.channel.gateway.now()
-        self.channel.regulate()
-        self.channel.gateway.reactor.callLater(WAIT_MOST, self.waited)
+        self.waits = self.client_connection.gateway.now()
+        self.client_connection.regulate()
+        self.client_connection.gateway.reactor.callLater(WAIT_MOST, self.waited)
 
     def go_on(self) -> None:
         """There is room again."""
         self.waits = None
-        self.channel.regulate()
+        self.client_connection.regulate()
 
     def waited(self) -> None:
         """Refused if it has waited for all that time."""
-        if self.waits is not None and self.channel.gateway.now() - self.waits >= WAIT_MOST * 0.99:
+        if self.waits is not None and self.client_connection.gateway.now() - self.waits >= WAIT_MOST * 0.99:
             count("body_without_room")
-            self.channel.turn_down(self, WAIT_MOST)
+            self.client_connection.turn_down(self, WAIT_MOST)
 
     def look_later(self) -> None:
         """Look whether it comes."""
-        self.channel.gateway.reactor.callLater(LOOK_EVERY, self.look)
+        self.client_connection.gateway.reactor.callLater(LOOK_EVERY, self.look)
 
     def look(self) -> None:
-        """One that hardly comes ends its channel, as half a command does."""
+        """One that hardly comes ends its client connection, as half a command does."""
         if self.over:
             return
-        if not self.channel.paused and self.came - self.looked_at < PACE * LOOK_EVERY:
+        if not self.client_connection.paused and self.came - self.looked_at < PACE * LOOK_EVERY:
             count("body_stalled")
-            return self.channel.body_late()
+            return self.client_connection.body_late()
         self.looked_at = self.came
         self.look_later()
 
--- a/corkdeal/net/channel.py
+++ b/corkdeal/net/client_connection.py
@@ -1,4 +1,4 @@
-"""The clients' side: channels that carry RPCs and answer them in the order of their commands."""
+"""The clients' side: connections that carry RPCs and answer them in the order of their commands."""
 
 from __future__ import annotations
 
@@ -20,10 +20,10 @@
 from .resp import Frame, Malformed, Parser
 from .rpc import READ, RPC, WRITE, BadRequest
 
-MOST_WAITING = 256  # commands of one channel without an answer; past that it is not read on
-MOST_BAD = 16  # bad requests of one channel; past that it is closed, so that a flood of them costs little
+MOST_WAITING = 256  # commands of one client connection without an answer; past that it is not read on
+MOST_BAD = 16  # bad requests of one connection; past that it is closed, so that a flood of them costs little
 LEFT_GRACE = 0.15  # s after a client's end of sending in which its requests may still get to a backend
-LINGER = 0.5  # s that a refused channel stays open, unread, so that its client can read why
+LINGER = 0.5  # s that a refused client connection stays open, unread, so that its client can read why
 OK = b"+OK\r\n"
 STANDBY = b"-ERR standby\r\n"  # PING's answer on standby: the front takes anything but PONG as a no
 
@@ -39,7 +39,7 @@
 
 
 @implementer(IHalfCloseableProtocol)
-class Channel(LineReceiver):
+class ClientConnection(LineReceiver):
     """One client connection: a LineReceiver in raw mode, whose heads are parsed where they arrived."""
 
     line_mode = 0
@@ -67,14 +67,14 @@
         """Join the others, unless all descriptors are in use for something better."""
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)  # a client that reads no answers is not read either
-        self.gateway.channels.add(self)
+        self.gateway.client_connections.add(self)
         self.closing = self.gateway.operators.standby  # served, then closed: no more come soon
-        if not self.gateway.descriptors.for_channel():
-            count("channel_refused")
+        if not self.gateway.descriptors.for_client_connection():
+            count("client_connection_refused")
             self.turn_away(b"-ERR max number of clients reached\r\n")
 
     def rawDataReceived(self, data: bytes) -> None:
-        """Take bytes; malformed ones cost this channel only, and no others. Answers go out together."""
+        """Take bytes; malformed ones cost this connection only. Answers go out together."""
         if self.refused:
             return
         now = self.gateway.now()
@@ -92,7 +92,7 @@
                     more = self.long_command(frame, now)
                 begun = now
         except Malformed as error:
-            count("channel_malformed")
+            count("client_connection_malformed")
             self.forget_body()
             self.refuse(b"-ERR Protocol error: %b\r\n" % str(error).encode())
         finally:
@@ -132,8 +132,8 @@
             self.gateway.take(rpc)
 
     def line_up(self, rpc: RPC) -> None:
-        """One more answer is owed here; past so many the channel is not read on."""
-        rpc.channel = self
+        """One more answer is owed here; past so many the client connection is not read on."""
+        rpc.client_connection = self
         self.asked += 1
         self.waiting.append(rpc)
         if len(self.waiting) >= MOST_WAITING and not self.held:
@@ -141,7 +141,7 @@
             self.regulate()
 
     def bad_request(self, error: BadRequest) -> None:
-        """Tell what is wrong with it; many of them end the channel."""
+        """Tell what is wrong with it; many of them end the client connection."""
         count("request_malformed")
         self.bad += 1
         tell = self.ready if self.bad < MOST_BAD else self.refuse
@@ -185,7 +185,7 @@
             self.flush()
 
     def body_late(self) -> None:
-        """A long value does not come on: what was to be an RPC is none, and the channel ends."""
+        """A long value does not come on: what was to be an RPC is none, and the client connection ends."""
         self.forget_body()
         self.refuse(b"-ERR timeout: the command does not come\r\n")
 
@@ -318,13 +318,13 @@
         self.ready(reply)
 
     def turn_away(self, reply: bytes) -> None:
-        """End a channel that has sent nothing, without lingering: a crowd of those could fill the table."""
+        """End one that has sent nothing, without lingering: a crowd of those could fill the table."""
         self.refused = True
         self.transport.write(reply)
         self.end()
 
     def drop(self) -> None:
-        """Close at once, for another channel's sake; nothing is open on this one."""
+        """Close at once, for another connection's sake; nothing is open on this one."""
         self.refused = True
         self.transport.abortConnection()
 
@@ -338,7 +338,7 @@
         """Close, unless there is a request to answer, or who has just connected may have one under way."""
         if self.refused or self.half_closed or self.waiting or self.parser.midway:
             return
-        if self not in self.gateway.channels or self.transport.disconnecting:
+        if self not in self.gateway.client_connections or self.transport.disconnecting:
             return  # it was asked again and has ended meanwhile
         if not self.spoke and (young := SILENT_LEAST - (self.gateway.now() - self.since)) > 0:
             self.gateway.reactor.callLater(young, self.close_if_idle)
@@ -381,21 +381,21 @@
         poll.register(handle, select.POLLRDHUP)
         for _, what in poll.poll(0):
             if what & (select.POLLERR | select.POLLHUP):
-                count("channel_gone_while_unread")
+                count("client_connection_gone_while_unread")
                 self.transport.abortConnection()
             elif what & select.POLLRDHUP:
-                count("channel_left_while_unread")
+                count("client_connection_left_while_unread")
                 self.client_left()
 
     def writeConnectionLost(self) -> None:
-        """This side's own half-close; the other half ends the channel."""
+        """This side's own half-close; the other half ends the client connection."""
 
     def connectionLost(self, reason: Any = None) -> None:
         """The client has gone away: nobody waits for what it asked."""
-        self.gateway.channels.discard(self)
+        self.gateway.client_connections.discard(self)
         self.gateway.budget.hold(self, 0)
         self.leave()
-        self.gateway.channel_ended()
+        self.gateway.client_connection_ended()
 
     def leave(self) -> None:
         """Nobody waits any more for what is open here."""
@@ -408,7 +408,7 @@
                 self.gateway.gone(rpc)
 
 
-class Channels(ServerFactory):
+class ClientConnections(ServerFactory):
     """Accepts clients."""
 
     noisy = False
@@ -416,14 +416,14 @@
     def __init__(self, gateway: Any) -> None:
         self.gateway = gateway
 
-    def buildProtocol(self, addr: Any) -> Channel:
-        """One channel for one connection."""
-        return Channel(self.gateway)
+    def buildProtocol(self, addr: Any) -> ClientConnection:
+        """The protocol of one connection."""
+        return ClientConnection(self.gateway)
 
 
 def listen(reactor: Any, at: tuple[str, int], gateway: Any) -> Any:
     """Open the port, on this address only."""
-    return reactor.listenTCP(at[1], Channels(gateway), backlog=socket.SOMAXCONN, interface=at[0])
+    return reactor.listenTCP(at[1], ClientConnections(gateway), backlog=socket.SOMAXCONN, interface=at[0])
 
 
 def accept_queued(port: Any) -> None:
@@ -444,6 +444,6 @@
     import os
 
     os.set_blocking(fd, False)  # Twisted accepts until EAGAIN: on a blocking socket it would wait there
-    port = reactor.adoptStreamPort(fd, socket.AF_INET, Channels(gateway))
+    port = reactor.adoptStreamPort(fd, socket.AF_INET, ClientConnections(gateway))
     os.close(fd)
     return port
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -15,7 +15,7 @@
 from .. import interface as t
 from ..brain import NEVER_RAN
 from ..brain import Gateway as Decisions
-from . import channel, invariants
+from . import client_connection, invariants
 from .backend_connection import Attempt, Pool, Reply
 from .backends import Backends
 from .budget import Budget, budget_for
@@ -48,16 +48,16 @@
 
 
 class Gateway:
-    """One gateway: the module's decisions between channels and backend connections."""
+    """One gateway: the module's decisions between client connections and backend connections."""
 
     def __init__(self, reactor: Any, config: Config) -> None:
         self.reactor, self.config, self.settings = reactor, config, config.settings
         self.epoch = time.time() - time.monotonic()  # wall time at the start; later steps of it don't matter
         self.decisions = Decisions(self.settings, config.seed)
         self.reader = Reader(self.settings)
-        self.channels: set[channel.Channel] = set()
+        self.client_connections: set[client_connection.ClientConnection] = set()
         self.budget = Budget(budget_for(config.memory))
-        self.descriptors = Descriptors(config.sockets, self.channels, self.now)
+        self.descriptors = Descriptors(config.sockets, self.client_connections, self.now)
         self.pool = Pool(
             reactor,
             self.settings,
@@ -179,9 +179,9 @@
         if not self.started and not self.draining:
             try:
                 if self.config.inherited is not None:
-                    self.port = channel.adopt(self.reactor, self.config.inherited, self)
+                    self.port = client_connection.adopt(self.reactor, self.config.inherited, self)
                 else:
-                    self.port = channel.listen(self.reactor, self.config.listen, self)
+                    self.port = client_connection.listen(self.reactor, self.config.listen, self)
             except CannotListenError as error:
                 self.taken("listen_failed", self.config.listen, error)
                 self.opening = self.opening or self.reactor.callLater(SWEEP_EVERY, self.open_again)
@@ -233,7 +233,7 @@
         logs.event("reloaded", discovery=text_of(new.discovery), at_next_start=",".join(late))
 
     def drain(self) -> None:
-        """Planned end: new connections are taken for a while, then channels close as they fall idle."""
+        """Planned end: connections are taken for a while, then those of clients close as they fall idle."""
         if not self.draining:
             self.draining = True
             logs.event("draining", open=len(self.rpcs))
@@ -249,14 +249,14 @@
             self.succession.end()
         if self.port:
             if self.config.inherited is None:  # of a shared socket others accept on
-                channel.accept_queued(self.port)
+                client_connection.accept_queued(self.port)
             self.port.stopListening()
-        for each in list(self.channels):
+        for each in list(self.client_connections):
             each.close_when_idle()
-        self.channel_ended()
+        self.client_connection_ended()
 
     def last_call(self) -> None:
-        """Answer all that is open: channels that stayed have brought more, and the process is killed soon."""
+        """Answer all that is open: clients that stayed have asked more, and the process is killed soon."""
         for rpc in list(self.rpcs.values()):
             count("unserved_at_last_call")
             self.abandon(rpc)
@@ -270,11 +270,11 @@
         else:
             self.pool.give_up(rpc.attempt, t.Status.CANCELLED if rpc.attempt.whole else t.Status.MOOT)
 
-    def channel_ended(self) -> None:
-        """End once draining is done and the last channel has closed."""
+    def client_connection_ended(self) -> None:
+        """End once draining is done and the last client connection has closed."""
         if (
             self.draining
-            and not (self.ending or self.channels or self.rpcs)
+            and not (self.ending or self.client_connections or self.rpcs)
             and self.reactor.running
             and (not self.port or self.port.disconnecting or self.port.disconnected)
         ):
@@ -426,7 +426,7 @@
             return False
         attempt.first = max(0.0, self.now() - attempt.sent_at)
         self.tally["success"] += 1
-        rpc.channel.pass_on(rpc, passage)
+        rpc.client_connection.pass_on(rpc, passage)
         self.feed(t.StreamStarted(rpc.request.id, attempt.number, attempt.server, attempt.first))
         return True
 
@@ -464,7 +464,7 @@
     def answer(self, rid: int, reply: list[Any]) -> None:
         """The one final answer; what has one already, or whose client is gone, gets none."""
         if (rpc := self.settle(rid)) is not None:
-            rpc.channel.answer(rpc, reply)
+            rpc.client_connection.answer(rpc, reply)
 
     def settle(self, rid: int) -> RPC | None:
         """Take an RPC off the books, for its final answer; None for one that is off them."""
--- a/corkdeal/net/operators.py
+++ b/corkdeal/net/operators.py
@@ -17,7 +17,7 @@
 
     def __init__(self, gateway: Any, backends: Backends) -> None:
         self.gateway, self.backends, self.handheld = gateway, backends, backends.handheld
-        self.standby = False  # PING turns and channels close as they fall idle
+        self.standby = False  # PING turns and client connections close as they fall idle
         self.tally: Counter[str] = Counter()  # answers by kind, attempts and reloads
 
     @property
@@ -51,17 +51,19 @@
         }
 
     def stand_by(self) -> bool:
-        """Drain without ending: PING says no, channels close as they fall idle. Whether that is news."""
+        """Drain without ending: PING says no, idle clients' connections close. Whether that is news."""
         if self.standby:
             return False
         self.standby = True
-        logs.event("standby", open=len(self.gateway.rpcs), channels=len(self.gateway.channels))
-        for each in list(self.gateway.channels):
+        logs.event(
+            "standby", open=len(self.gateway.rpcs), client_connections=len(self.gateway.client_connections)
+        )
+        for each in list(self.gateway.client_connections):
             each.close_when_idle()
         return True
 
     def stand_up(self) -> bool:
-        """End a standby; new channels stay open again. Whether that is news."""
+        """End a standby; new client connections stay open again. Whether that is news."""
         if not self.standby:
             return False
         self.standby = False
--- a/corkdeal/net/ops.py
+++ b/corkdeal/net/ops.py
@@ -9,7 +9,7 @@
     GET /status/metrics             the figures below, as one JSON object
     PUT /maintenance/enter/ID       hold backend ID out (404 for an id that no list names and none holds out)
     PUT /maintenance/exit/ID        let it back, as a cold backend (404 where it was not held out)
-    PUT /standby                    drain: PING turns, channels close as they fall idle
+    PUT /standby                    drain: PING turns, client connections close as they fall idle
     PUT /active                     end the drain; without a restart
 
 Unknown paths get 404, a known path with the wrong method 405; what is no HTTP gets Twisted's 400. None of
--- a/corkdeal/net/passage.py
+++ b/corkdeal/net/passage.py
@@ -1,4 +1,4 @@
-"""A long answer on its way: its bytes go on from the backend connection to the channel as they come.
+"""A long answer on its way: its bytes go on from the backend's connection to the client's as they come.
 
 From its first byte on the attempt is final. Nothing is kept here: while the client does not take what was
 written, or an answer before this one is not through, the backend's side is not read. A backend that breaks
@@ -22,7 +22,7 @@
 
 
 class Passage:
-    """One long answer between its backend connection and its channel."""
+    """One long answer between its backend connection and its client connection."""
 
     def __init__(self, conn: BackendConnection, attempt: Attempt, frame: Frame) -> None:
         """`frame` is the answer up to the content of its first long value; another form is malformed."""
@@ -34,8 +34,8 @@
             raise Malformed("a long value where none belongs")
         self.conn, self.attempt, self.rpc = conn, attempt, attempt.rpc
         self.head: memoryview | None = memoryview(frame.buf)[items[1].head : items[-1].start]
-        self.ended = False  # whether all of the value was handed to the channel
-        self.begun = False  # whether its first bytes went to the channel, which makes the attempt final
+        self.ended = False  # whether all of the value was handed to the client connection
+        self.begun = False  # whether its first bytes went to the client, which makes the attempt final
         self.kept = 0  # bytes, for the budget
         self.timer: Any = None
         self.budget = conn.pool.budget
@@ -82,7 +82,7 @@
         except Malformed:
             return self.conn.spoilt(self.attempt)
         self.rpc.reply += parts
-        self.rpc.channel.passed(self.rpc)
+        self.rpc.client_connection.passed(self.rpc)
         if reply and not self.attempt.over:
             self.conn.answered(self.attempt, reply)
 
@@ -132,10 +132,10 @@
             if wait <= 0:
                 count("answer_stalled")
                 return self.conn.spoilt(self.attempt)
-        elif self.rpc.channel.first(self.rpc):
-            if (unsent := self.rpc.channel.unsent()) == self.unsent:
+        elif self.rpc.client_connection.first(self.rpc):
+            if (unsent := self.rpc.client_connection.unsent()) == self.unsent:
                 count("answer_not_taken")
-                return self.rpc.channel.cut()
+                return self.rpc.client_connection.cut()
             self.unsent = unsent
         self.timer = self.conn.pool.reactor.callLater(wait, self.look)
 
@@ -143,7 +143,7 @@
         """Nothing is left to look after, and nothing may hold the last piece: no timer, and no cycle."""
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
-        self.rpc.passage = None  # all of the value is in its reply, or its channel has ended
+        self.rpc.passage = None  # all of the value is in its reply, or its client connection has ended
 
     def broken(self) -> None:
         """No more of it will come."""
@@ -151,7 +151,7 @@
         self.budget.hold(self, 0)
         if self.begun and not self.ended:
             self.ended = True
-            self.rpc.channel.cut()
+            self.rpc.client_connection.cut()
         self.finish()
 
     def client_gone(self) -> None:
--- a/corkdeal/net/recovery.py
+++ b/corkdeal/net/recovery.py
@@ -127,7 +127,7 @@
     def waited(self, handle: Any, now: float) -> float:
         """Seconds that bytes about to be read have lain here, as far as a pause held them up.
 
-        The kernel tells it of the newest bytes; a request before others of its channel is older yet.
+        The kernel tells it of the newest bytes; a request before others of its connection is older yet.
         """
         self.turn(now)
         if now - self.woke_at > OLD_FOR:
--- a/corkdeal/net/rpc.py
+++ b/corkdeal/net/rpc.py
@@ -46,7 +46,7 @@
     wait_at: int  # offsets of the value of `d` in the parameters
     wait_stop: int
     deadline: float
-    channel: Any = None
+    client_connection: Any = None
     attempt: Any = None  # the attempt that is out
     attempts: int = 0
     done: bool = False  # answered, or nobody waits for it
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -144,7 +144,7 @@
 
 
 class Pair:
-    """A gateway between one channel and backend connections, all on a fake reactor."""
+    """A gateway between one client connection and backend connections, all on a fake reactor."""
 
     def __init__(self):
         self.reactor = MemoryReactorClock()
@@ -155,9 +155,9 @@
         entry = t.ServerEntry("a", t.ServerState.READY)
         self.gateway.feed(t.ServerList(t.ListKind.FULL, (entry,)))
         self.gateway.pool.told("a", True, ("127.0.0.1", 3))
-        self.channel = gateway.channel.Channel(self.gateway)
+        self.client_connection = gateway.client_connection.ClientConnection(self.gateway)
         self.client = Wire()
-        self.channel.makeConnection(self.client)
+        self.client_connection.makeConnection(self.client)
         self.heard = []
         handle = self.gateway.decisions.handle
         self.gateway.decisions.handle = lambda now, events: self.heard.extend(events) or handle(now, events)
@@ -166,7 +166,7 @@
     def ask(self, rid):
         """One request, and the connection that its attempt goes out on."""
         params = b"c=look,t=large,d=3000,units=1,spread=1,first=0"
-        self.channel.dataReceived(command(b"API.READ", b"%016x" % 7, b"%016x" % rid, params))
+        self.client_connection.dataReceived(command(b"API.READ", b"%016x" % 7, b"%016x" % rid, params))
         return self.back()
 
     def back(self):
@@ -206,7 +206,7 @@
     assert bytes(pair.client.taken) == bulk(1) + VALUE
     assert pair.outcomes() == [t.Status.OK] * 2
     assert held <= 2 * len(max(cut(HEAD + VALUE + TAIL, at), key=len)) + WHOLE
-    assert not pair.channel.waiting and not pair.gateway.rpcs
+    assert not pair.client_connection.waiting and not pair.gateway.rpcs
     gc.disable()  # nothing may wait for the collector, which comes rarely here
     try:
         conn, _ = pair.ask(3)
@@ -283,7 +283,7 @@
         conn.dataReceived(HEAD + VALUE[:90000])
         assert wire.reading_paused
         if leave:
-            pair.channel.connectionLost()
+            pair.client_connection.connectionLost()
         else:
             for _ in range(4):
                 pair.reactor.advance(passage.TAKE_STALL)
@@ -305,10 +305,10 @@
 def test_a_slow_commands_wait_counts_from_its_last_byte():
     pair = Pair()
     raw = command(b"API.READ", b"%016x" % 7, b"%016x" % 1, b"c=look,t=large,d=900,units=1,spread=1,first=0")
-    pair.channel.dataReceived(raw[:-2])
+    pair.client_connection.dataReceived(raw[:-2])
     pair.reactor.advance(2.0)  # as long as clients may take
     pair.gateway.descriptors.sweep()
-    pair.channel.dataReceived(raw[-2:])
+    pair.client_connection.dataReceived(raw[-2:])
     (request,) = [e for e in pair.heard if isinstance(e, t.Request)]
     assert request.patience == pytest.approx(0.9, abs=0.01)
 
@@ -330,7 +330,7 @@
     raw = write()
     for piece in cut(raw, at):
         assert not pair.reactor.tcpClients  # nothing is sent before the last byte has come
-        pair.channel.dataReceived(piece)
+        pair.client_connection.dataReceived(piece)
         pair.reactor.advance(0.01)
     conn, wire = pair.reactor.tcpClients[-1][2].buildProtocol(None), Wire()
     wire.room = 1000
@@ -348,7 +348,8 @@
 
 def test_a_long_command_that_broke_off_is_sent_again_and_counts_as_never_come():
     pair = Pair()
-    pair.channel.dataReceived(write(cls=b"pay", more=b""))  # may be sent again only because nothing of it ran
+    # may be sent again only because nothing of it ran
+    pair.client_connection.dataReceived(write(cls=b"pay", more=b""))
     conn, wire = pair.reactor.tcpClients[-1][2].buildProtocol(None), Wire()
     wire.room = LONG
     conn.makeConnection(wire)
@@ -360,7 +361,7 @@
 
 def test_a_connection_that_breaks_under_a_long_command_never_had_it_whole():
     pair = Pair()
-    pair.channel.dataReceived(write())
+    pair.client_connection.dataReceived(write())
     conn, wire = pair.reactor.tcpClients[-1][2].buildProtocol(None), Wire()
     wire.sendmsg = unittest.mock.Mock(side_effect=BrokenPipeError)
     conn.makeConnection(wire)
@@ -375,7 +376,7 @@
 @pytest.mark.parametrize(("answer", "status"), EARLY)
 def test_an_answer_to_a_command_that_is_not_whole_ends_its_connection(answer, status):
     pair = Pair()
-    pair.channel.dataReceived(write())
+    pair.client_connection.dataReceived(write())
     conn, wire = pair.reactor.tcpClients[-1][2].buildProtocol(None), Wire()
     wire.room = LONG
     conn.makeConnection(wire)
@@ -397,12 +398,12 @@
 
 
 @pytest.mark.parametrize(("raw", "answer"), BAD)
-def test_a_bad_command_with_a_long_value_is_read_past_and_the_channel_stays(raw, answer):
+def test_a_bad_command_with_a_long_value_is_read_past_and_the_client_connection_stays(raw, answer):
     for size in (len(raw), 5000):
         pair = Pair()
         for i in range(0, len(raw), size):
-            pair.channel.dataReceived(raw[i : i + size])
-        pair.channel.dataReceived(PING)
+            pair.client_connection.dataReceived(raw[i : i + size])
+        pair.client_connection.dataReceived(PING)
         assert pair.client.taken.startswith(answer) and pair.client.taken.endswith(PONG)
         assert bytes(pair.client.taken).count(b"\r\n") == 2
         assert not pair.gateway.reader.open and pair.gateway.budget.total == 0 and not pair.reactor.tcpClients
@@ -411,28 +412,32 @@
 def test_what_is_beyond_a_quota_is_refused_at_the_head_and_read_past():
     pair = Pair()
     for rid in range(2):  # all that the plan allows at once
-        pair.channel.dataReceived(write(rid, plan=b"small"))
+        pair.client_connection.dataReceived(write(rid, plan=b"small"))
     raw = write(9, plan=b"small")
-    pair.channel.dataReceived(raw[:300])
+    pair.client_connection.dataReceived(raw[:300])
     assert invariants.counts["refused_at_head"] == 1
     pair.back()[0].dataReceived(served())
     assert not pair.client.taken  # the first one's answer is still to come
-    pair.channel.dataReceived(raw[300:] + PING)
+    pair.client_connection.dataReceived(raw[300:] + PING)
     assert len(pair.reactor.tcpClients) == 2 and pair.gateway.operators.tally["busy"] == 1
 
 
 LEAVES = [  # what happens in the middle of a body, what the client reads, a count
-    (lambda pair: pair.channel.readConnectionLost(), b"", "command_cut_short"),
-    (lambda pair: pair.channel.connectionLost(), b"", None),
+    (lambda pair: pair.client_connection.readConnectionLost(), b"", "command_cut_short"),
+    (lambda pair: pair.client_connection.connectionLost(), b"", None),
     (lambda pair: pair.reactor.pump([body.LOOK_EVERY] * 2), b"-ERR timeout", "body_stalled"),
-    (lambda pair: pair.channel.dataReceived(b"b" * 3 * LONG), b"-ERR Protocol error", "channel_malformed"),
+    (
+        lambda pair: pair.client_connection.dataReceived(b"b" * 3 * LONG),
+        b"-ERR Protocol error",
+        "client_connection_malformed",
+    ),
 ]
 
 
 @pytest.mark.parametrize(("leave", "answer", "name"), LEAVES)
 def test_a_body_that_does_not_come_whole_costs_its_own_command(leave, answer, name):
     pair = Pair()
-    pair.channel.dataReceived(write()[:LONG])
+    pair.client_connection.dataReceived(write()[:LONG])
     assert pair.gateway.reader.open
     pair.reactor.advance(0.1)
     leave(pair)
@@ -447,16 +452,16 @@
     pair = Pair()
     budget = pair.gateway.budget
     hog = Hog(budget)
-    pair.channel.dataReceived(write(1, size=2 * LONG)[:LONG])
-    other = gateway.channel.Channel(pair.gateway)
+    pair.client_connection.dataReceived(write(1, size=2 * LONG)[:LONG])
+    other = gateway.client_connection.ClientConnection(pair.gateway)
     other.makeConnection(Wire())
     other.dataReceived(write(2, size=2 * LONG)[:LONG])
-    asker = gateway.channel.Channel(pair.gateway)
+    asker = gateway.client_connection.ClientConnection(pair.gateway)
     asker.makeConnection(taker := Wire())
     asker.dataReceived(command(b"API.READ", b"%016x" % 7, b"%016x" % 3, b"c=look,t=large,d=3000"))
     conn, wire = pair.back()
     budget.hold(hog, budget.high)
-    assert other.paused and not pair.channel.paused  # the oldest may come whole
+    assert other.paused and not pair.client_connection.paused  # the oldest may come whole
     conn.dataReceived(HEAD + VALUE)
     assert wire.reading_paused and not taker.taken
     pair.reactor.advance(body.WAIT_MOST)
--- a/tests/test_net_moments.py
+++ b/tests/test_net_moments.py
@@ -167,7 +167,7 @@
         self.assertEqual(client.read(), [b"mine"])
         self.assertIsNone(client.read())
 
-    def test_behind_so_many_others_that_its_channel_is_not_read(self):
+    def test_behind_so_many_others_that_its_client_connection_is_not_read(self):
         self.patient()
         client, many = self.client(), 900  # not all are read in one go; the rest fits the kernel's buffer
         client.send(b"".join(command(*self.words(b"look", d=80000, rid=rid)) for rid in range(many)))
@@ -176,14 +176,14 @@
             self.assertTrue(client.read()[0].startswith(BUSY))
         self.assertIsNone(client.read())
 
-    def test_a_reset_of_a_channel_that_is_not_read(self):
+    def test_a_reset_of_a_client_connection_that_is_not_read(self):
         self.patient()
         client, marker, staying = self.client(), self.client(), self.client()
         client.send(b"".join(command(*self.words(b"look", d=80000, rid=rid)) for rid in range(900)))
         self.ask(marker, d=80000, rid=5000, customer=8)
         self.ask(staying, b"pay", d=80000, rid=5001, customer=9, body=b"y")
         client.reset()
-        self.mark(marker)  # a look at the channels that are not read comes more often than this
+        self.mark(marker)  # a look at the client connections that are not read comes more often than this
         self.world.add("a")
         self.world.tell()
         asked = self.world.next()
@@ -275,7 +275,7 @@
         self.process.send_signal(signal.SIGTERM)
         self.line("draining")
         self.assertIsNone(idle.read())
-        self.ask(client, b"pay", d=80000, rid=3, body=b"z")  # on a channel that stays open
+        self.ask(client, b"pay", d=80000, rid=3, body=b"z")  # on a client connection that stays open
         third = self.world.next()
         self.assertLess(int(third.params[b"d"]), 1300)  # it has not so long as its client says
         self.assertEqual(client.read(), [GONE])
@@ -393,17 +393,17 @@
 
 
 class Idle(Moments):
-    """A channel is not closed over bytes that have come and were not read yet."""
+    """A client connection is not closed over bytes that have come and were not read yet."""
 
     def quiet(self, many, spoken):
-        """Channels that are idle, or silent."""
+        """Client connections that are idle, or silent."""
         clients = [self.client() for _ in range(many)]
         for client in clients if spoken else ():
             client.send(command(b"PING"))
             self.assertEqual(client.read(), [b"PONG"])
         return clients
 
-    def test_a_silent_channel_whose_first_command_has_come(self):
+    def test_a_silent_client_connection_whose_first_command_has_come(self):
         self.start(a={})
         probe = self.client()
         clients = self.quiet(40, spoken=False)  # so many that silent ones are closed soon
--- a/tests/test_net_ops.py
+++ b/tests/test_net_ops.py
@@ -194,7 +194,7 @@
         self.assertEqual(self.call("GET", "/status/metrics")[1]["app_hosts_down"], 1)
         self.assertEqual(self.call("PUT", "/maintenance/exit/a")[0], 200)  # and the call back may come here
 
-    def test_standby_turns_ping_closes_idle_channels_and_active_brings_it_back(self):
+    def test_standby_turns_ping_closes_idle_client_connections_and_active_brings_it_back(self):
         self.start_ops(a={})
         idle, busy = self.client(), self.client()
         self.ask(busy, rid=1)
@@ -203,7 +203,7 @@
         self.assertEqual(self.call("GET", "/status")[0], 503)
         self.assertIsNone(idle.read())  # closed, being idle
         asked.conn.send(served())
-        self.assertEqual(busy.read(), [b"v"])  # what was taken is answered, then the channel ends
+        self.assertEqual(busy.read(), [b"v"])  # what was taken is answered, then the client connection ends
         self.assertIsNone(busy.read())
         late = self.client()
         late.send(b"*1\r\n$4\r\nPING\r\n")
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -13,7 +13,7 @@
 
 from corkdeal import interface as t
 from corkdeal.net import backend_connection, config, gateway, invariants, resolver, resp, rpc
-from corkdeal.net import channel as channel_module
+from corkdeal.net import client_connection as client_connection_module
 from corkdeal.net import descriptors as descriptors_module
 
 from .net_world import ROOT, SETTINGS
@@ -265,8 +265,8 @@
         self.gateway.feed(t.ServerList(t.ListKind.CACHED, given.known.entries))
         invariants.counts.clear()
 
-    def channel(self):
-        made = gateway.channel.Channels(self.gateway).buildProtocol(None)
+    def client_connection(self):
+        made = gateway.client_connection.ClientConnections(self.gateway).buildProtocol(None)
         transport = StringTransport()
         transport.setTcpNoDelay = lambda on: None
         transport.connected, transport.producerPaused, transport.dataBuffer = True, False, b""
@@ -278,9 +278,9 @@
         made.makeConnection(transport)
         return made
 
-    def test_a_request_not_read_yet_and_one_likely_under_way_keep_a_channel_from_closing(self):
+    def test_a_request_not_read_yet_and_one_likely_under_way_keep_a_client_connection_from_closing(self):
         self.clock()
-        new, asked, idle = [self.channel() for _ in range(3)]
+        new, asked, idle = [self.client_connection() for _ in range(3)]
         for each in (asked, idle):
             each.dataReceived(b"*1\r\n$4\r\nPING\r\n")
             ours, theirs = socket.socketpair()
@@ -297,7 +297,7 @@
             each.transport.getHandle = lambda each=each: each.transport
             each.dataReceived(b"*1\r\n$4\r\nPING\r\n")
         self.assertEqual([c.transport.disconnecting for c in (new, asked)], [True, True])
-        silent = self.channel()
+        silent = self.client_connection()
         silent.close_when_idle()
         self.reactor.advance(descriptors_module.SILENT_LEAST + 0.01)
         self.assertTrue(silent.transport.disconnecting)
@@ -307,9 +307,9 @@
         self.gateway.now = self.gateway.descriptors.now = self.reactor.seconds
         return self.gateway.descriptors
 
-    def test_channels_that_hold_a_descriptor_for_nothing_end(self):
+    def test_client_connections_that_hold_a_descriptor_for_nothing_end(self):
         descriptors = self.clock()  # for ever, they would turn usual clients away
-        silent, half, idle, busy = [self.channel() for _ in range(4)]
+        silent, half, idle, busy = [self.client_connection() for _ in range(4)]
         half.dataReceived(b"*1\r\n$4\r\nPI")
         idle.dataReceived(b"*1\r\n$4\r\nPING\r\n")
         busy.waiting.append(object())
@@ -317,19 +317,19 @@
         descriptors.sweep()
         for each in (silent, half):
             self.assertIn(b"-ERR timeout", each.transport.value())
-        self.reactor.advance(channel_module.LINGER)
-        self.assertEqual(self.gateway.channels - {silent}, {idle, busy})
+        self.reactor.advance(client_connection_module.LINGER)
+        self.assertEqual(self.gateway.client_connections - {silent}, {idle, busy})
         self.assertTrue(silent.transport.disconnecting)
         self.reactor.advance(descriptors_module.IDLE_MOST)
         descriptors.sweep()
         self.assertEqual((idle.transport.disconnecting, busy.transport.disconnecting), (True, False))
 
-    def test_many_channels_make_idle_and_silent_ones_end_sooner(self):
+    def test_many_client_connections_make_idle_and_silent_ones_end_sooner(self):
         descriptors = self.clock()
-        idle, pinged, silent = [self.channel() for _ in range(3)]
+        idle, pinged, silent = [self.client_connection() for _ in range(3)]
         idle.spoke, idle.asked = True, 1
         pinged.dataReceived(b"*1\r\n$4\r\nPING\r\n")
-        crowd = [self.channel() for _ in range(descriptors.most // 8)]
+        crowd = [self.client_connection() for _ in range(descriptors.most // 8)]
         for each in crowd:
             each.waiting.append(object())
         self.reactor.advance(descriptors_module.SILENT_LEAST + 0.01)
@@ -343,33 +343,34 @@
     def test_short_descriptors_go_to_who_asks(self):
         descriptors = self.clock()
         most = descriptors.most - descriptors.for_pool()
-        busy, idle = self.channel(), self.channel()
+        busy, idle = self.client_connection(), self.client_connection()
         busy.waiting.append(object())
         idle.spoke, idle.asked = True, 1
         self.reactor.advance(descriptors_module.IDLE_LEAST)
-        silent = [self.channel() for _ in range(most - 2)]
+        silent = [self.client_connection() for _ in range(most - 2)]
         for each in silent[::2]:  # a PING is no reason to keep one either
             each.dataReceived(b"*1\r\n$4\r\nPING\r\n")
         self.reactor.advance(descriptors_module.SILENT_LEAST)
         for left in (most - 3, most - 4):  # first those that never asked anything
-            new = self.channel()
+            new = self.client_connection()
             self.assertEqual(new.transport.value(), b"")
-            self.assertEqual(len(self.gateway.channels & set(silent)), left)
-        for each in self.gateway.channels - {idle}:
+            self.assertEqual(len(self.gateway.client_connections & set(silent)), left)
+        for each in self.gateway.client_connections - {idle}:
             each.waiting.append(object())
-        self.channel()
-        self.assertFalse(idle in self.gateway.channels)  # then the one idle for longest
-        self.assertIn(b"-ERR max number", self.channel().transport.value())  # but none with work in hand
-        self.assertEqual(len(self.gateway.channels), most + 1)
+        self.client_connection()
+        self.assertFalse(idle in self.gateway.client_connections)  # then the one idle for longest
+        refused = self.client_connection()  # but none with work in hand
+        self.assertIn(b"-ERR max number", refused.transport.value())
+        self.assertEqual(len(self.gateway.client_connections), most + 1)
 
     def test_answers_to_a_flood_go_out_together_and_end_it(self):
-        made, sent = self.channel(), []
+        made, sent = self.client_connection(), []
         made.transport.sendmsg = lambda parts: sent.append(parts) or sum(map(len, parts))
         made.dataReceived(b"*1\r\n$8\r\nAPI.READ\r\n" * 500)  # each was parsed, and written by itself
-        self.assertEqual((len(sent), len(sent[0])), (1, channel_module.MOST_BAD))
+        self.assertEqual((len(sent), len(sent[0])), (1, client_connection_module.MOST_BAD))
         made.dataReceived(b"*1\r\n$4\r\nPING\r\n" * 500)
         self.assertEqual(len(sent), 1)
-        pings = self.channel()  # the system takes no more than 1024 parts at once
+        pings = self.client_connection()  # the system takes no more than 1024 parts at once
         pings.transport.sendmsg = made.transport.sendmsg
         pings.dataReceived(b"*1\r\n$4\r\nPING\r\n" * 1500)
         self.assertEqual((len(sent[1]), len(sent[1][0])), (1, 1500 * 7))
@@ -402,7 +403,7 @@
                 "attempt": None,
                 "release": lambda _: None,
                 "done": False,
-                "channel": type("C", (), {"answer": lambda _, rpc, reply: answers.append(reply)})(),
+                "client_connection": type("C", (), {"answer": lambda _, rpc, reply: answers.append(reply)})(),
             },
         )()
         self.gateway.take(rpc)
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -147,7 +147,7 @@
         self.process.send_signal(signal.SIGTERM)
         self.assertIn("datagram_malformed=2", self.line("counts "))
 
-    def test_pipelined_answers_keep_their_order_and_a_half_closed_channel_is_served(self):
+    def test_pipelined_answers_keep_their_order_and_a_half_closed_client_connection_is_served(self):
         self.start(a={}, b={})
         client = self.client()
         client.send(
@@ -175,7 +175,7 @@
         self.world.next().conn.send(served(b"mine"))
         self.assertEqual(other.read(), [b"mine"])
 
-    def test_malformed_input_costs_its_channel_only(self):
+    def test_malformed_input_costs_its_client_connection_only(self):
         self.start(a={})
         other = self.client()
         for raw in (
@@ -197,7 +197,7 @@
 
     def test_a_long_pipeline_is_served_to_its_end(self):
         self.start(a={})
-        client = self.client()  # more than a channel may have waiting at once
+        client = self.client()  # more than a client connection may have waiting at once
         client.send(b"".join(command(*self.words(b"look", customer=1, rid=rid)) for rid in range(600)))
         for _ in range(2):
             self.world.next().conn.send(served())
@@ -216,7 +216,7 @@
         other.send(command(b"PING"))
         self.assertEqual(other.read(), [b"PONG"])
 
-    def test_bad_requests_get_an_error_and_the_channel_stays(self):
+    def test_bad_requests_get_an_error_and_the_client_connection_stays(self):
         self.start(a={})
         client, good = self.client(), self.words(b"look")
         for params in (
@@ -303,7 +303,7 @@
         self.assertTrue(client.read()[0].startswith(b"ERR timeout"))
         self.assertEqual(self.process.wait(20), 0)
 
-    def test_silent_and_half_sent_channels_end_and_one_with_work_in_hand_does_not(self):
+    def test_silent_and_half_sent_client_connections_end_and_one_with_work_in_hand_does_not(self):
         self.start(a={})
         busy, half, silent = self.client(), self.client(), self.client()
         self.ask(busy, b"pay", d=8000, body=b"x")
