--- a/corkdeal/net/backends.py
+++ b/corkdeal/net/backends.py
@@ -9,12 +9,12 @@
 
 from .. import interface as t
 from .backend_connection import Pool
+from .discovery_watch import DiscoverySnapshot
 from .handheld import Handheld
-from .resolver import ResolverResult
 
 
 class Backends:
-    """The resolver result as it stands.
+    """The discovery snapshot as it stands.
 
     `lead` puts an event into the decisions' next batch, and `pump` has that batch taken. The list is told
     before the pool ends anything, so it leads its batch, and nothing is sent again to what drains.
@@ -28,8 +28,8 @@
         self.at: dict[str, tuple[str, int]] = {}
         self.revision = 0
 
-    def take(self, result: ResolverResult, kind: t.ListKind) -> None:
-        """Follow a resolver result."""
+    def take(self, result: DiscoverySnapshot, kind: t.ListKind) -> None:
+        """Follow a discovery snapshot."""
         if kind is not t.ListKind.DELTA:
             self.listed, self.at = {}, {}
         for entry in result.entries:
--- a/corkdeal/net/config.py
+++ b/corkdeal/net/config.py
@@ -11,7 +11,7 @@
 
 from .. import interface as t
 from .. import wire
-from .resolver import ListError, ResolverResult, parse_list
+from .discovery_watch import DiscoverySnapshot, ListError, parse_list
 
 Address = tuple[str, int]
 MOST_PORT = 65535
@@ -33,7 +33,7 @@
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()
     peers_all: Address | None = None
-    known: ResolverResult | None = None
+    known: DiscoverySnapshot | None = None
     sockets: int = 1024
     memory: int = 192 << 20  # bytes that the process may take
     ops: Address | None = None  # the operators' HTTP address; without it there is none
--- a/corkdeal/net/resolver.py
+++ b/corkdeal/net/discovery_watch.py
@@ -1,4 +1,4 @@
-"""Discovery's list of backends: how a resolver result is read, and the watch that fetches it."""
+"""Discovery's list of backends: how a discovery snapshot is read, and the watch that fetches it."""
 
 from __future__ import annotations
 
@@ -39,7 +39,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class ResolverResult:
+class DiscoverySnapshot:
     """What discovery told: entries for the module, and the addresses that they stand for."""
 
     revision: int
@@ -53,7 +53,7 @@
     return names.index(name) if name in names else len(names)
 
 
-def parse_list(raw: Any, settings: t.Settings) -> ResolverResult:
+def parse_list(raw: Any, settings: t.Settings) -> DiscoverySnapshot:
     """Check one list, in discovery's form, and turn it into the module's terms."""
     if not isinstance(raw, dict):
         raise ListError("the list is no object")
@@ -94,7 +94,7 @@
                 figures[2] / 1000,
             )
         )
-    return ResolverResult(revision, raw["complete"], tuple(entries), addresses)
+    return DiscoverySnapshot(revision, raw["complete"], tuple(entries), addresses)
 
 
 @implementer(IAgentEndpointFactory)
@@ -122,8 +122,8 @@
         reactor: Any,
         at: tuple[str, int],
         settings: t.Settings,
-        told: Callable[[ResolverResult], None],
-        held: ResolverResult | None = None,
+        told: Callable[[DiscoverySnapshot], None],
+        held: DiscoverySnapshot | None = None,
         rng: random.Random | None = None,
     ) -> None:
         self.reactor, self.settings, self.told = reactor, settings, told
@@ -155,9 +155,9 @@
             except Exception as error:  # discovery may be down, silent or wrong: the list held goes on
                 if not self.running:
                     return
-                count("resolver_failed")
+                count("discovery_failed")
                 if not self.again:
-                    logs.event("resolver_failed", error=f"{type(error).__name__}: {error}")
+                    logs.event("discovery_failed", error=f"{type(error).__name__}: {error}")
                 self.again = min(self.most, max(self.least, 2 * self.again))
                 if isinstance(error, ListError):
                     self.revision = None
@@ -165,7 +165,7 @@
                 continue
             self.again = 0.0
             if self.revision is not None and result.revision < self.revision:  # discovery began anew
-                count("resolver_began_anew")
+                count("discovery_began_anew")
                 self.revision = None
                 continue
             first, self.met, self.revision = not self.met, True, result.revision
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -21,12 +21,12 @@
 from .budget import Budget, budget_for
 from .config import Config, ConfigError, load, text_of
 from .descriptors import Descriptors
+from .discovery_watch import DiscoverySnapshot, Watch
 from .handheld import Handheld
 from .invariants import count, holds
 from .operators import Operators
 from .passage import Passage
 from .peering import Peering
-from .resolver import ResolverResult, Watch
 from .resp import command, report_of
 from .rpc import RPC, Reader
 from .timers import Timers
@@ -199,7 +199,7 @@
         self.opening = None
         self.open()
 
-    def watch_at(self, at: tuple[str, int], held: ResolverResult | None = None) -> Watch:
+    def watch_at(self, at: tuple[str, int], held: DiscoverySnapshot | None = None) -> Watch:
         """A watch of the discovery at that address; without a list held it asks for the whole one."""
         return Watch(self.reactor, at, self.settings, self.told, held, random.Random(self.config.seed))
 
@@ -437,7 +437,7 @@
             return count("datagram_old")
         self.feed(t.PeerMessage(peer, payload))
 
-    def told(self, result: ResolverResult) -> None:
+    def told(self, result: DiscoverySnapshot) -> None:
         """Discovery's word."""
         if self.recovery is not None:
             self.recovery.told()
--- a/corkdeal/net/handheld.py
+++ b/corkdeal/net/handheld.py
@@ -1,7 +1,7 @@
 """Backends put out of service by hand: they override what discovery says, and outlast an upgrade.
 
-An operator's `maintenance/enter/ID` holds a backend out until `maintenance/exit/ID`, whatever the resolver
-results say; one call back ends any number of calls out. What is held out is written to a small file in the
+An operator's `maintenance/enter/ID` holds a backend out until `maintenance/exit/ID`, whatever discovery
+says; one call back ends any number of calls out. What is held out is written to a small file in the
 process's temporary folder at each change (written whole beside it, then renamed over it), so that the next
 process of the same name, which shares that folder during an upgrade, holds the same ones out from its start.
 While both live either may be called, so each looks whether the file is still the one that it knows.
--- a/tests/test_resolver.py
+++ b/tests/test_discovery_watch.py
@@ -6,11 +6,11 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from corkdeal.net import resolver
+from corkdeal.net import discovery_watch
 
 from .helpers import settings
 
-HELD = resolver.ResolverResult(3, True, (), {})
+HELD = discovery_watch.DiscoverySnapshot(3, True, (), {})
 PATIENCE = 2.0  # s that a call waits in discovery's line
 
 
@@ -32,20 +32,20 @@
         if self.free_at - now <= PATIENCE:
             self.later(watch, done, self.free_at - now)
         else:
-            self.clock.callLater(PATIENCE, done.errback, resolver.Unavailable("503"))
+            self.clock.callLater(PATIENCE, done.errback, discovery_watch.Unavailable("503"))
         return done
 
     def later(self, watch, done, wait):
         def answer():
             self.watching[watch] = self.clock.seconds()
-            done.callback(resolver.ResolverResult(3, watch.revision is None, (), {}))
+            done.callback(discovery_watch.DiscoverySnapshot(3, watch.revision is None, (), {}))
 
         self.clock.callLater(wait, answer)
 
 
 def start(clock, discovery, me, told, held=HELD, **more):
     given = settings(me, list_pushed=False, **more)
-    watch = resolver.Watch(clock, ("127.0.0.1", 1), given, told.append, held, random.Random(me))
+    watch = discovery_watch.Watch(clock, ("127.0.0.1", 1), given, told.append, held, random.Random(me))
     watch.call = lambda: discovery.call(watch)
     watch.run()
     return watch
@@ -71,7 +71,12 @@
 def test_a_failure_keeps_what_is_held_and_a_bad_list_asks_for_all_of_it():
     clock, told = Clock(), []
     discovery = Discovery(clock)
-    failures = [resolver.Unavailable("503"), TimeoutError(), resolver.ListError("revision"), None]
+    failures = [
+        discovery_watch.Unavailable("503"),
+        TimeoutError(),
+        discovery_watch.ListError("revision"),
+        None,
+    ]
     watch = start(clock, discovery, 0, told, gateways=4)
     asked = []
 
@@ -91,7 +96,7 @@
 
 def test_a_discovery_that_began_anew_is_asked_for_the_whole_list():
     clock, told = Clock(), []
-    held = resolver.ResolverResult(41, True, (), {})
+    held = discovery_watch.DiscoverySnapshot(41, True, (), {})
     discovery = Discovery(clock)
     start(clock, discovery, 0, told, held, gateways=4)
     advance(clock, 3.0)
@@ -131,13 +136,13 @@
 @pytest.mark.parametrize("head_after", [0.0, 1.5, 2.9])
 def test_head_and_body_of_an_answer_together_have_the_time_of_one_call(head_after):
     clock, told = Clock(), []
-    watch = resolver.Watch(
+    watch = discovery_watch.Watch(
         clock, ("127.0.0.1", 1), settings(drain_grace=0.25), told.append, HELD, random.Random(1)
     )
     watch.agent = agent = Halved(clock, head_after)
     watch.run()
     advance(clock, 20.0)
-    limit = resolver.WAIT_MS / 1000 + resolver.ANSWER_LATE
+    limit = discovery_watch.WAIT_MS / 1000 + discovery_watch.ANSWER_LATE
     gaps = [b - a for a, b in zip(agent.calls, agent.calls[1:], strict=False)]
     assert len(gaps) >= 5 and max(gaps) <= limit + 0.25 + 0.11
     assert told == []
@@ -145,7 +150,7 @@
 
 def test_a_pushed_list_is_asked_for_again_within_the_grace_of_a_drain():
     clock = Clock()
-    watch = resolver.Watch(
+    watch = discovery_watch.Watch(
         clock, ("127.0.0.1", 1), settings(drain_grace=0.25), lambda _: None, HELD, random.Random(1)
     )
     calls = []
@@ -153,7 +158,7 @@
     def call():  # refused at once, for as long as discovery is down
         calls.append(clock.seconds())
         done = Deferred()
-        done.errback(resolver.Unavailable("down"))
+        done.errback(discovery_watch.Unavailable("down"))
         return done
 
     watch.call = call
