--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -362,7 +362,7 @@
         rpc.done = True
         self.reader.open.discard(rpc.id)
         self.tally["busy"] += 1
-        return self.unavailable(min(after, self.settings.max_advised_wait))
+        return self.rejection(min(after, self.settings.max_advised_wait))
 
     def beyond_quota(self, request: t.Request) -> float | None:
         """The wait to advise where a command can be refused on its head alone, else None."""
@@ -489,12 +489,12 @@
         self.pool.send(attempt)
 
     def refuse(self, a: t.Refuse) -> None:
-        """The unavailable status, with the time after which to come again where that is allowed."""
+        """A rejection, with the time after which to come again where that is allowed."""
         self.tally["busy"] += a.id in self.rpcs
-        self.answer(a.id, [self.unavailable(a.retry_after)])
+        self.answer(a.id, [self.rejection(a.retry_after)])
 
-    def unavailable(self, after: float) -> bytes:
-        """The unavailable status as it is written."""
+    def rejection(self, after: float) -> bytes:
+        """A rejection as it is written."""
         wait = math.ceil(after * 1000) if self.settings.may_advise_wait else 0
         return b"-BUSY %d\r\n" % wait if wait > 0 else b"-BUSY\r\n"
 
