--- a/corkdeal/net/backends.py
+++ b/corkdeal/net/backends.py
@@ -10,7 +10,7 @@
 from .. import interface as t
 from .backend_connection import Pool
 from .discovery_watch import DiscoverySnapshot
-from .handheld import Handheld
+from .manual_overrides import ManualOverrides
 
 
 class Backends:
@@ -21,9 +21,13 @@
     """
 
     def __init__(
-        self, pool: Pool, handheld: Handheld | None, lead: Callable[[t.Event], None], pump: Callable[[], None]
+        self,
+        pool: Pool,
+        overrides: ManualOverrides | None,
+        lead: Callable[[t.Event], None],
+        pump: Callable[[], None],
     ) -> None:
-        self.pool, self.handheld, self.lead, self.pump = pool, handheld, lead, pump
+        self.pool, self.overrides, self.lead, self.pump = pool, overrides, lead, pump
         self.listed: dict[str, t.ServerEntry] = {}
         self.at: dict[str, tuple[str, int]] = {}
         self.revision = 0
@@ -40,7 +44,7 @@
                 self.listed[entry.server] = entry
                 self.at[entry.server] = result.addresses[entry.server]
         self.revision = result.revision
-        entries = self.handheld.overlay(result.entries) if self.handheld else result.entries
+        entries = self.overrides.overlay(result.entries) if self.overrides else result.entries
         self.lead(t.ServerList(kind, entries, result.revision))
         for entry in entries:
             self.pool.told(entry.server, entry.state is t.ServerState.READY, result.addresses[entry.server])
@@ -51,19 +55,19 @@
 
     def retell(self, server: str) -> None:
         """Tell one listed backend anew, under the operators' word."""
-        if server not in self.listed or self.handheld is None:
+        if server not in self.listed or self.overrides is None:
             return
-        entry = self.handheld.entry(self.listed[server])
+        entry = self.overrides.entry(self.listed[server])
         self.lead(t.ServerList(t.ListKind.DELTA, (entry,), self.revision))
         self.pool.told(server, entry.state is t.ServerState.READY, self.at[server])
         self.pump()
 
     def known(self, server: str) -> bool:
         """Whether there is a backend of that id: the list names it, or it is held out."""
-        return server in self.listed or (self.handheld is not None and server in self.handheld.out)
+        return server in self.listed or (self.overrides is not None and server in self.overrides.out)
 
     def counts(self) -> tuple[int, int]:
         """How many are listed, and how many of them are not ready or held out by hand."""
-        held = self.handheld.out if self.handheld else set()
+        held = self.overrides.out if self.overrides else set()
         down = sum(1 for e in self.listed.values() if e.state is not t.ServerState.READY or e.server in held)
         return len(self.listed), down
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -22,8 +22,8 @@
 from .config import Config, ConfigError, load, text_of
 from .descriptors import Descriptors
 from .discovery_watch import DiscoverySnapshot, Watch
-from .handheld import Handheld
 from .invariants import count, holds
+from .manual_overrides import ManualOverrides
 from .operators import Operators
 from .passage import Passage
 from .peering import Peering
@@ -90,10 +90,10 @@
         self.reported = ""
         self.refused = 0
         self.ops_port: Any = None
-        handheld = Handheld(config.name) if config.ops else None
-        if handheld:
-            handheld.load()
-        self.backends = Backends(self.pool, handheld, lambda event: self.events.append(event), self.pump)
+        overrides = ManualOverrides(config.name) if config.ops else None
+        if overrides:
+            overrides.load()
+        self.backends = Backends(self.pool, overrides, lambda event: self.events.append(event), self.pump)
         self.operators = Operators(self, self.backends)
         self.tally = self.operators.tally
         self.act = {
--- a/corkdeal/net/handheld.py
+++ b/corkdeal/net/manual_overrides.py
@@ -24,7 +24,7 @@
 FORMAT = 1  # of the file; one of another form is not read, and the gateway holds nothing out
 
 
-class Handheld:
+class ManualOverrides:
     """The ids held out, when each came back, and the file that hands them on."""
 
     def __init__(self, name: str, folder: str | None = None) -> None:
--- a/corkdeal/net/operators.py
+++ b/corkdeal/net/operators.py
@@ -16,7 +16,7 @@
     """The operators' word on one gateway, and the figures they read."""
 
     def __init__(self, gateway: Any, backends: Backends) -> None:
-        self.gateway, self.backends, self.handheld = gateway, backends, backends.handheld
+        self.gateway, self.backends, self.overrides = gateway, backends, backends.overrides
         self.standby = False  # PING turns and client connections close as they fall idle
         self.tally: Counter[str] = Counter()  # answers by kind, attempts and reloads
 
@@ -72,28 +72,28 @@
 
     def follow(self) -> None:
         """Take on what operators told another life of this gateway, while both serve."""
-        for server in sorted(self.handheld.follow()) if self.handheld is not None else ():
-            logs.event("held_elsewhere", server=server, out=server in self.handheld.out)
+        for server in sorted(self.overrides.follow()) if self.overrides is not None else ():
+            logs.event("held_elsewhere", server=server, out=server in self.overrides.out)
             self.backends.retell(server)
 
     def hold_out(self, server: str) -> bool | None:
         """Send that backend nothing new, whatever the list says; None for an id that nobody has."""
-        assert self.handheld is not None
+        assert self.overrides is not None
         if not self.backends.known(server):
             return None
         self.follow()  # so that what is written holds all that was told
-        new = self.handheld.enter(server)
+        new = self.overrides.enter(server)
         logs.event("held_out", server=server, new=new)
         self.backends.retell(server)
         return new
 
     def let_back(self, server: str) -> bool | None:
         """Take that backend back, as one just started; None for an id that nobody has."""
-        assert self.handheld is not None
+        assert self.overrides is not None
         if not self.backends.known(server):
             return None
         self.follow()
-        back = self.handheld.exit(server, self.gateway.now())
+        back = self.overrides.exit(server, self.gateway.now())
         logs.event("let_back", server=server, new=back)
         self.backends.retell(server)
         return back
--- a/tests/test_net_ops.py
+++ b/tests/test_net_ops.py
@@ -9,7 +9,7 @@
 
 from corkdeal import interface as t
 from corkdeal import logs
-from corkdeal.net import handheld, ops
+from corkdeal.net import manual_overrides, ops
 from corkdeal.net.invariants import counts
 
 from .net_world import PATIENCE, Program, free, served
@@ -66,7 +66,7 @@
 
 
 def test_held_out_drains_whatever_the_list_says_and_comes_back_cold(tmp_path):
-    held = handheld.Handheld("n0", str(tmp_path))
+    held = manual_overrides.ManualOverrides("n0", str(tmp_path))
     assert held.enter("a") and not held.enter("a")  # two calls out
     assert held.overlay([entry("a"), entry("b")]) == (entry("a", t.ServerState.DRAINING), entry("b"))
     assert held.exit("a", 50.0) and not held.exit("a", 60.0)  # one call back ends both
@@ -77,14 +77,14 @@
 
 
 def test_the_next_process_holds_the_same_backends_out(tmp_path):
-    first = handheld.Handheld("n0", str(tmp_path))
+    first = manual_overrides.ManualOverrides("n0", str(tmp_path))
     first.enter("a")
     first.enter("b")
     first.exit("b", 12.5)
-    second = handheld.Handheld("n0", str(tmp_path))
+    second = manual_overrides.ManualOverrides("n0", str(tmp_path))
     second.load()
     assert (second.out, second.back) == ({"a"}, {"b": 12.5})
-    other = handheld.Handheld("n1", str(tmp_path))
+    other = manual_overrides.ManualOverrides("n1", str(tmp_path))
     other.load()
     assert other.out == set()
     with open(other.path, "wb") as file:  # a file that can't be read holds nothing out, and is counted
@@ -100,7 +100,7 @@
 
 
 def test_two_lives_follow_what_either_was_told(tmp_path):
-    old, new = (handheld.Handheld("n0", str(tmp_path)) for _ in range(2))
+    old, new = (manual_overrides.ManualOverrides("n0", str(tmp_path)) for _ in range(2))
     assert old.follow() == new.follow() == set()  # no file yet
     old.enter("a")
     assert (new.follow(), new.out, new.follow(), old.follow()) == ({"a"}, {"a"}, set(), set())
