--- a/corkdeal/net/backend_connection.py
+++ b/corkdeal/net/backend_connection.py
@@ -11,7 +11,7 @@
 from twisted.protocols.basic import LineReceiver
 
 from .. import interface as t
-from . import gather
+from . import vectored_write
 from .answers import Reply, check_head, read_probe, read_reply
 from .body import Sender
 from .budget import Budget
@@ -35,7 +35,7 @@
     server: str
     sent_at: float
     until: float
-    parts: list[gather.Part]
+    parts: list[vectored_write.Part]
     conn: BackendConnection | None = None
     over: bool = False
     first: float | None = None  # s from sending it to the first byte of a long answer, once that is passed on
@@ -47,7 +47,7 @@
         return (
             conn is not None
             and conn.begun_at is not None
-            and not (conn.sender or gather.pending(conn.transport))
+            and not (conn.sender or vectored_write.pending(conn.transport))
         )
 
 
@@ -83,7 +83,7 @@
         """Write an attempt; from its first byte on it counts as sent."""
         self.attempt, attempt.conn, self.begun_at = attempt, self, self.pool.now()
         if attempt.rpc is None or attempt.rpc.body is None:
-            gather.write(self.transport, attempt.parts)
+            vectored_write.write(self.transport, attempt.parts)
             return
         self.sender = Sender(self.transport, attempt.parts, self.sent)
         self.sender.start()
@@ -196,7 +196,7 @@
         if self.passage:
             self.passage.broken()
         if attempt:
-            whole = self.up and not self.sender and not gather.pending(self.transport)
+            whole = self.up and not self.sender and not vectored_write.pending(self.transport)
             self.pool.finish(attempt, Reply(t.Status.RESET if whole else t.Status.CONNECT_FAILED))
 
     def connectionLost(self, reason: Any = None) -> None:
--- a/corkdeal/net/body.py
+++ b/corkdeal/net/body.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Any
 
-from . import gather
+from . import vectored_write
 from .budget import Budget
 from .invariants import count
 
@@ -110,18 +110,18 @@
 
     def resumeProducing(self) -> None:
         """The transport has written all that it had."""
-        while not self.over and not gather.pending(self.transport):
+        while not self.over and not vectored_write.pending(self.transport):
             batch, size = [], 0
             for part in self.parts:
                 batch.append(part)
                 size += len(part)
-                if size >= SEND_AT_ONCE or len(batch) >= gather.MOST_PARTS:
+                if size >= SEND_AT_ONCE or len(batch) >= vectored_write.MOST_PARTS:
                     break
             if not batch:
                 self.over = True
                 self.transport.unregisterProducer()
                 self.done()
-            elif not gather.write(self.transport, batch):
+            elif not vectored_write.write(self.transport, batch):
                 self.over = True  # it never came whole, which its backend connection goes by
 
     def stopProducing(self) -> None:
--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -12,7 +12,7 @@
 from twisted.protocols.basic import LineReceiver
 from zope.interface import implementer
 
-from . import gather
+from . import vectored_write
 from .body import Body
 from .descriptors import SILENT_LEAST
 from .invariants import count, holds
@@ -204,7 +204,7 @@
         self.waiting.append(Ready(reply))
         self.flush()
 
-    def answer(self, rpc: RPC, reply: list[gather.Part]) -> None:
+    def answer(self, rpc: RPC, reply: list[vectored_write.Part]) -> None:
         """The one final answer of an RPC."""
         if holds(rpc.reply is None, "second_answer"):
             rpc.reply = reply
@@ -239,10 +239,10 @@
         return len(self.transport.dataBuffer) - self.transport.offset + self.transport._tempDataLen
 
     def flush(self) -> None:
-        """Write what is ready in order, by one gathered write; close where nothing is left to do."""
+        """Write what is ready in order, by one vectored write; close where nothing is left to do."""
         if self.reading:
             return
-        parts: list[gather.Part] = []
+        parts: list[vectored_write.Part] = []
         long = False
         while self.waiting and (reply := self.waiting[0].reply) is not None:
             parts += reply
@@ -253,7 +253,7 @@
                     break
             self.waiting.popleft()
         if parts and self.transport.connected:
-            gather.write(self.transport, parts)
+            vectored_write.write(self.transport, parts)
         if long:
             self.pace()
         if self.held and len(self.waiting) < MOST_WAITING // 2:
