--- a/corkdeal/net/vectored_write.py
+++ b/corkdeal/net/vectored_write.py
@@ -1,4 +1,4 @@
-"""Gathered writes on Twisted's transports.
+"""Vectored writes on Twisted's transports.
 
 ITransport.writeSequence only queues its parts: the transport joins them into one bytes object at the
 next turn of the reactor, which copies every body and costs two epoll_ctl and one more epoll_wait.
