--- a/corkdeal/net/backend_connection.py
+++ b/corkdeal/net/backend_connection.py
@@ -16,8 +16,8 @@
 from .body import Sender
 from .budget import Budget
 from .invariants import count, holds
-from .passage import Passage
 from .resp import Frame, Malformed, Parser
+from .response_stream import ResponseStream
 from .rpc import RPC
 
 IDLE_PART = 0.8  # of the idle limit; a backend closes "at the latest" then, and a crossing send is a reset
@@ -60,7 +60,7 @@
         self.pool, self.server, self.parser = pool, server, Parser()
         self.attempt: Attempt | None = attempt
         self.up = self.ended = False
-        self.passage: Passage | None = None  # the long answer that it is giving
+        self.response_stream: ResponseStream | None = None  # the long answer that it is giving
         self.sender: Sender | None = None  # what writes a long command, until it is whole
         self.idle_since = 0.0
         self.connector: Any = None
@@ -101,8 +101,8 @@
                 count("backend_connection_unasked")
                 self.close()
             return
-        if self.passage is not None:
-            return self.passage.take(data)
+        if self.response_stream is not None:
+            return self.response_stream.take(data)
         begun = self.parser.midway
         try:
             self.parser.feed(data)
@@ -125,9 +125,9 @@
 
     def answered(self, attempt: Attempt, reply: Reply) -> None:
         """The whole answer has come; the connection is kept unless more than that did."""
-        if self.passage:
-            self.passage.finish()
-        self.attempt = self.passage = None
+        if self.response_stream:
+            self.response_stream.finish()
+        self.attempt = self.response_stream = None
         if self.parser.midway or self.sender:
             count("backend_connection_answered_early" if self.sender else "backend_connection_unasked")
             self.close()
@@ -139,13 +139,13 @@
         """An answer has come up to a long value: it is passed on from here."""
         if attempt.rpc is None or self.sender:
             raise Malformed("no answer to what was asked")
-        self.passage = Passage(self, attempt, frame)
-        self.passage.start()
+        self.response_stream = ResponseStream(self, attempt, frame)
+        self.response_stream.start()
 
     def stalled(self, attempt: Attempt, until: float, had: int) -> None:
         """Whether an answer that had begun still comes."""
         have = len(self.parser.buf)
-        if self.passage is not None:
+        if self.response_stream is not None:
             return  # it looks after itself
         if not attempt.over and have > had and self.pool.now() < until:
             self.pool.reactor.callLater(REPLY_STALL, self.stalled, attempt, until, have)
@@ -176,8 +176,8 @@
             return
         self.ended, self.attempt = True, None
         self.pool.forget(self)
-        if self.passage:
-            self.passage.broken()
+        if self.response_stream:
+            self.response_stream.broken()
         if self.up:
             try:
                 self.transport.getHandle().shutdown(socket.SHUT_RDWR)
@@ -193,8 +193,8 @@
             return
         attempt, self.ended, self.attempt = self.attempt, True, None
         self.pool.forget(self)
-        if self.passage:
-            self.passage.broken()
+        if self.response_stream:
+            self.response_stream.broken()
         if attempt:
             whole = self.up and not self.sender and not vectored_write.pending(self.transport)
             self.pool.finish(attempt, Reply(t.Status.RESET if whole else t.Status.CONNECT_FAILED))
@@ -236,7 +236,7 @@
         now: Callable[[], float],
         finished: Callable[[Attempt, Reply], None],
         room: Callable[[], bool],
-        passing: Callable[[Attempt, Passage], bool],
+        passing: Callable[[Attempt, ResponseStream], bool],
         budget: Budget,
     ) -> None:
         self.reactor, self.most, self.now, self.finished, self.room = reactor, most, now, finished, room
--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -16,8 +16,8 @@
 from .body import Body
 from .descriptors import SILENT_LEAST
 from .invariants import count, holds
-from .passage import Passage
 from .resp import Frame, Malformed, Parser
+from .response_stream import ResponseStream
 from .rpc import READ, RPC, WRITE, BadRequest
 
 MOST_WAITING = 256  # commands of one client connection without an answer; past that it is not read on
@@ -32,7 +32,7 @@
     """An answer that needs no RPC, in its place among the others."""
 
     __slots__ = ("reply",)
-    passage = None
+    response_stream = None
 
     def __init__(self, reply: bytes) -> None:
         self.reply = [reply]
@@ -210,11 +210,11 @@
             rpc.reply = reply
             self.flush()
 
-    def pass_on(self, rpc: RPC, passage: Passage) -> None:
-        """The one final answer of an RPC, yet to come whole; behind others its passage has to wait."""
+    def pass_on(self, rpc: RPC, response_stream: ResponseStream) -> None:
+        """The one final answer of an RPC, yet to come whole; behind others its stream has to wait."""
         if holds(rpc.reply is None, "second_answer"):
-            rpc.passage, rpc.reply = passage, [passage.head]
-            passage.resume() if self.first(rpc) else passage.pause()
+            rpc.response_stream, rpc.reply = response_stream, [response_stream.head]
+            response_stream.resume() if self.first(rpc) else response_stream.pause()
 
     def passed(self, rpc: RPC) -> None:
         """More of an answer has come."""
@@ -226,8 +226,8 @@
         if (unsent := self.unsent()) and not self.transport.producerPaused:
             self.transport.producerPaused = True  # its mark is 64 KiB; this way it tells when all is taken
             self.pauseProducing()
-        elif not unsent and self.waiting and (passage := self.waiting[0].passage) is not None:
-            passage.resume()
+        elif not unsent and self.waiting and (response_stream := self.waiting[0].response_stream) is not None:
+            response_stream.resume()
         self.gateway.budget.hold(self, unsent)
 
     def first(self, rpc: RPC) -> bool:
@@ -246,9 +246,9 @@
         long = False
         while self.waiting and (reply := self.waiting[0].reply) is not None:
             parts += reply
-            if (passage := self.waiting[0].passage) is not None:
+            if (response_stream := self.waiting[0].response_stream) is not None:
                 long = True
-                if not passage.ended:
+                if not response_stream.ended:
                     self.waiting[0].reply = []
                     break
             self.waiting.popleft()
@@ -278,16 +278,16 @@
     def pauseProducing(self) -> None:
         """The client does not take what is written: it is not read on, and neither is who answers it."""
         self.regulate()
-        if self.waiting and self.waiting[0].passage is not None:
-            self.waiting[0].passage.pause()
+        if self.waiting and self.waiting[0].response_stream is not None:
+            self.waiting[0].response_stream.pause()
 
     def resumeProducing(self) -> None:
         """All is written."""
         self.regulate()
         if self.kept:
             self.gateway.budget.hold(self, 0)
-        if self.waiting and (passage := self.waiting[0].passage) is not None:
-            passage.resume()
+        if self.waiting and (response_stream := self.waiting[0].response_stream) is not None:
+            response_stream.resume()
 
     def regulate(self) -> None:
         """Read the client or not: it takes no answers, is owed many, or what it sends finds no room."""
@@ -402,8 +402,8 @@
         self.forget_body()
         waiting, self.waiting = self.waiting, deque()
         for rpc in waiting:
-            if rpc.passage is not None:
-                rpc.passage.client_gone()
+            if rpc.response_stream is not None:
+                rpc.response_stream.client_gone()
             elif rpc.reply is None:
                 self.gateway.gone(rpc)
 
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -25,9 +25,9 @@
 from .invariants import count, holds
 from .manual_overrides import ManualOverrides
 from .operators import Operators
-from .passage import Passage
 from .peering import Peering
 from .resp import command, report_of
+from .response_stream import ResponseStream
 from .rpc import RPC, Reader
 from .timers import Timers
 
@@ -417,7 +417,7 @@
             t.Outcome(rid, attempt.number, attempt.server, reply.status, elapsed, rpc.done, report=report)
         )
 
-    def passing(self, attempt: Attempt, passage: Passage) -> bool:
+    def passing(self, attempt: Attempt, response_stream: ResponseStream) -> bool:
         """The first bytes of a long answer: it is the final one. Whether somebody waits for it.
 
         The decisions are told the time up to here. What a slow reader adds says nothing of the backend.
@@ -426,7 +426,7 @@
             return False
         attempt.first = max(0.0, self.now() - attempt.sent_at)
         self.tally["success"] += 1
-        rpc.client_connection.pass_on(rpc, passage)
+        rpc.client_connection.pass_on(rpc, response_stream)
         self.feed(t.StreamStarted(rpc.request.id, attempt.number, attempt.server, attempt.first))
         return True
 
--- a/corkdeal/net/passage.py
+++ b/corkdeal/net/response_stream.py
@@ -21,7 +21,7 @@
 TAKE_STALL = 5.0  # s without a byte taken by the client, after which its connection is ended
 
 
-class Passage:
+class ResponseStream:
     """One long answer between its backend connection and its client connection."""
 
     def __init__(self, conn: BackendConnection, attempt: Attempt, frame: Frame) -> None:
@@ -143,7 +143,8 @@
         """Nothing is left to look after, and nothing may hold the last piece: no timer, and no cycle."""
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
-        self.rpc.passage = None  # all of the value is in its reply, or its client connection has ended
+        # all of the value is in its reply, or its client connection has ended
+        self.rpc.response_stream = None
 
     def broken(self) -> None:
         """No more of it will come."""
--- a/corkdeal/net/rpc.py
+++ b/corkdeal/net/rpc.py
@@ -52,7 +52,7 @@
     done: bool = False  # answered, or nobody waits for it
     left: bool = False  # its client sends no more, so nothing more is begun for it
     reply: list[Any] | None = None  # the answer, or what has come of it, while it waits for those before it
-    passage: Any = None  # what passes on an answer with a long value
+    response_stream: Any = None  # what passes on an answer with a long value
     body: Any = None  # the command's own long value
 
     def parts(self, wait: float) -> list[bytes | memoryview]:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -1,4 +1,4 @@
-"""Long values: any cutting gives the same bytes, and each way in which a passage may end."""
+"""Long values: any cutting gives the same bytes, and each way in which a response stream may end."""
 
 import dataclasses
 import gc
@@ -14,7 +14,7 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from corkdeal import interface as t
-from corkdeal.net import answers, backend_connection, body, config, gateway, invariants, passage, resp
+from corkdeal.net import answers, backend_connection, body, config, gateway, invariants, resp, response_stream
 from corkdeal.net.budget import Budget
 from corkdeal.net.resp import WHOLE, command
 
@@ -211,17 +211,17 @@
     try:
         conn, _ = pair.ask(3)
         conn.dataReceived((HEAD + VALUE + TAIL)[:90000])
-        gone = weakref.ref(conn.passage)
+        gone = weakref.ref(conn.response_stream)
         conn.dataReceived((HEAD + VALUE + TAIL)[90000:])
         pair.client.take()
-        assert conn.passage is None and gone() is None
+        assert conn.response_stream is None and gone() is None
     finally:
         gc.enable()
 
 
 ENDS = [  # what the backend gives, what happens then, its outcome, a count, whether the client is cut off
     ([HEAD + VALUE[:90000], None], t.Status.RESET, "answer_cut_off", True),
-    ([HEAD + VALUE[:90000], passage.GIVE_STALL], t.Status.RESET, "answer_stalled", True),
+    ([HEAD + VALUE[:90000], response_stream.GIVE_STALL], t.Status.RESET, "answer_stalled", True),
     ([HEAD + VALUE[:-2] + b"xx"], t.Status.RESET, "backend_connection_malformed", True),
     ([HEAD + VALUE + TAIL + b"+more\r\n"], t.Status.OK, "backend_connection_unasked", False),
     ([HEAD + VALUE + b"junk\r\n"], t.Status.RESET, "backend_connection_malformed", False),
@@ -286,7 +286,7 @@
             pair.client_connection.connectionLost()
         else:
             for _ in range(4):
-                pair.reactor.advance(passage.TAKE_STALL)
+                pair.reactor.advance(response_stream.TAKE_STALL)
             assert pair.client.closed and invariants.counts["answer_not_taken"] == 1
         assert conn.ended and pair.outcomes() == [t.Status.CANCELLED]
 
