Rename body to request_stream

A long command that comes in pieces is a stream of the request; its class is RequestStream. Nothing else changes; tests of long values, parsers and layout pass.

--- a/corkdeal/net/backend_connection.py
+++ b/corkdeal/net/backend_connection.py
@@ -13,9 +13,9 @@
 from .. import interface as t
 from . import vectored_write
 from .answers import Reply, check_head, read_probe, read_reply
-from .body import Sender
 from .budget import Budget
 from .invariants import count, holds
+from .request_stream import Sender
 from .resp import Frame, Malformed, Parser
 from .response_stream import ResponseStream
 from .rpc import RPC
--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -13,9 +13,9 @@
 from zope.interface import implementer
 
 from . import vectored_write
-from .body import Body
 from .descriptors import SILENT_LEAST
 from .invariants import count, holds
+from .request_stream import RequestStream
 from .resp import Frame, Malformed, Parser
 from .response_stream import ResponseStream
 from .rpc import READ, RPC, WRITE, BadRequest
@@ -54,7 +54,7 @@
         self.waited = 0.0  # s that what is being read lay here while the process stood still
         self.half_closed = self.closing = self.refused = False
         self.held = self.reading = self.ended = self.left = False
-        self.body: Body | None = None  # a command's long value on its way in
+        self.body: RequestStream | None = None  # a command's long value on its way in
         self.kept = 0  # bytes of a long answer that its client has not taken, for the budget
 
     @property
@@ -154,12 +154,12 @@
             try:
                 rpc = self.gateway.reader.read_head(frame, self.parser.left, now)
                 self.line_up(rpc)
-                rpc.body = self.body = Body(self.gateway.budget, self, rpc)
+                rpc.body = self.body = RequestStream(self.gateway.budget, self, rpc)
                 if (wait := self.gateway.beyond_quota(rpc.request)) is not None:
                     count("refused_at_head")
                     self.turn_down(self.body, wait)
             except BadRequest as error:
-                self.body = Body(self.gateway.budget, self, None)
+                self.body = RequestStream(self.gateway.budget, self, None)
                 self.bad_request(error)
         elif frame.last:
             body, self.body = self.body, None
@@ -176,7 +176,7 @@
             self.body.take(piece)
         return not self.parser.body
 
-    def turn_down(self, body: Body, after: float) -> None:
+    def turn_down(self, body: RequestStream, after: float) -> None:
         """Refuse a command whose long value has not come whole; the rest of it is read past."""
         if body.rpc is not None:
             body.rpc.reply = [self.gateway.turned_down(body.rpc, after)]
--- a/corkdeal/net/body.py
+++ b/corkdeal/net/request_stream.py
@@ -26,7 +26,7 @@
 SEND_AT_ONCE = 256 * 1024  # bytes handed to a transport in one go
 
 
-class Body:
+class RequestStream:
     """One command's long value; a holder of the budget. Without an RPC it is read past."""
 
     def __init__(self, budget: Budget, client_connection: ClientConnection, rpc: RPC | None) -> None:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -14,7 +14,16 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from corkdeal import interface as t
-from corkdeal.net import answers, backend_connection, body, config, gateway, invariants, resp, response_stream
+from corkdeal.net import (
+    answers,
+    backend_connection,
+    config,
+    gateway,
+    invariants,
+    request_stream,
+    resp,
+    response_stream,
+)
 from corkdeal.net.budget import Budget
 from corkdeal.net.resp import WHOLE, command
 
@@ -425,7 +434,7 @@
 LEAVES = [  # what happens in the middle of a body, what the client reads, a count
     (lambda pair: pair.client_connection.readConnectionLost(), b"", "command_cut_short"),
     (lambda pair: pair.client_connection.connectionLost(), b"", None),
-    (lambda pair: pair.reactor.pump([body.LOOK_EVERY] * 2), b"-ERR timeout", "body_stalled"),
+    (lambda pair: pair.reactor.pump([request_stream.LOOK_EVERY] * 2), b"-ERR timeout", "body_stalled"),
     (
         lambda pair: pair.client_connection.dataReceived(b"b" * 3 * LONG),
         b"-ERR Protocol error",
@@ -464,7 +473,7 @@
     assert other.paused and not pair.client_connection.paused  # the oldest may come whole
     conn.dataReceived(HEAD + VALUE)
     assert wire.reading_paused and not taker.taken
-    pair.reactor.advance(body.WAIT_MOST)
+    pair.reactor.advance(request_stream.WAIT_MOST)
     assert other.transport.taken.startswith(b"-BUSY 500") and not other.paused
     budget.hold(hog, 0)
     assert bytes(taker.taken) == VALUE and not wire.reading_paused
