--- a/corkdeal/net/__main__.py
+++ b/corkdeal/net/__main__.py
@@ -1,4 +1,4 @@
-"""The gateway's program: configuration, signals and the reactor."""
+"""The gateway's application: configuration, signals and the reactor."""
 
 from __future__ import annotations
 
@@ -30,16 +30,16 @@
         return 2
     from twisted.internet import reactor
 
-    from .program import Program, log_to
+    from .application import Application, log_to
 
     log_to(options, given.name)
-    program = Program(reactor, given, options, path)
+    application = Application(reactor, given, options, path)
     for each in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(each, lambda *_: reactor.callFromThread(program.gateway.drain))
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(program.reload))
+        signal.signal(each, lambda *_: reactor.callFromThread(application.gateway.drain))
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(application.reload))
     if early:  # looked at last: from the line before on the other handler has them
-        reactor.callFromThread(program.reload)
-    reactor.callWhenRunning(program.start)
+        reactor.callFromThread(application.reload)
+    reactor.callWhenRunning(application.start)
     gc.collect()
     gc.freeze()  # what is loaded by now stays; later collections need not look at it
     gc.set_threshold(GC_EVERY, 10, 50)
--- a/corkdeal/net/program.py
+++ b/corkdeal/net/application.py
@@ -15,7 +15,7 @@
     from ..options import Options
 
 
-class Program:
+class Application:
     """The gateway, the file that its subsystems are set by, and their common life."""
 
     def __init__(self, reactor: Any, config: Config, options: Options | None, options_path: str) -> None:
