--- a/corkdeal/options/reader.py
+++ b/corkdeal/options/reader.py
@@ -30,6 +30,7 @@
     text: str
 
     def __str__(self) -> str:
+        """The place, then what is wrong there."""
         place = f"line {self.line}, column {self.column}: " if self.line else ""
         return f"{place}{self.node + ': ' if self.node else ''}{self.text}"
 
--- a/corkdeal/peers.py
+++ b/corkdeal/peers.py
@@ -60,8 +60,7 @@
         and note.first < s.gateways
         and 2 <= note.spread <= s.gateways
         and (
-            isinstance(note, Totals)
-            and shares_trees(note.spread, s.gateways)
+            (isinstance(note, Totals) and shares_trees(note.spread, s.gateways))
             or all((member - note.first) % s.gateways < note.spread for member in (peer, s.me))
         )
     )
--- a/corkdeal/standin/history.py
+++ b/corkdeal/standin/history.py
@@ -31,6 +31,7 @@
     cut_at: float | None = None  # its connection ended without an answer
 
     def __str__(self) -> str:
+        """One line of the history."""
         said = ", ".join(f"{what} at {at:.3f}" for at, what in self.answers) or "no answer"
         return f"{self.sent:.3f} try {self.id:x} of {self.customer:08x} at gateway {self.gateway}: {said}"
 
@@ -46,6 +47,7 @@
     beside: str = ""  # another server where an attempt of the same request was still waited for
 
     def __str__(self) -> str:
+        """One line of the history."""
         beside = f", while one stood at {self.beside}" if self.beside else ""
         return (
             f"{self.at:.3f} attempt for {self.request:x} from gateway {self.gateway} at {self.server}{beside}"
--- a/tests/knowledge/test_keeper.py
+++ b/tests/knowledge/test_keeper.py
@@ -2,6 +2,7 @@
 short.
 """
 
+import itertools
 import threading
 from collections import Counter
 from types import SimpleNamespace
@@ -140,7 +141,7 @@
         tried.append(world.reactor.seconds())
         world.reactor.take()
     assert world.lines.count("knowledge_failing") == 1 and world.counts["knowledge_write_failed"] == 5
-    gaps = [b - a for a, b in zip(tried, tried[1:], strict=False)]
+    gaps = [b - a for a, b in itertools.pairwise(tried)]
     assert gaps == sorted(gaps) and gaps[0] >= 1 and gaps[-1] == 10.0
     Faulty.broken = False
     while not keeper.busy:
--- a/tests/knowledge/test_store.py
+++ b/tests/knowledge/test_store.py
@@ -168,10 +168,8 @@
         assert any(
             durable
             and not any(
-                name == file_of(durable)
-                and content == b"".join(numbered(durable))
-                or name > file_of(durable)
-                and content == b"".join(numbered(int(name[:16])))
+                (name == file_of(durable) and content == b"".join(numbered(durable)))
+                or (name > file_of(durable) and content == b"".join(numbered(int(name[:16]))))
                 for name, content in state
             )
             for durable, state in crash_states(log)
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import gc
+import itertools
 import json
 import re
 import unittest.mock
@@ -35,7 +36,7 @@
 def cut(raw, at):
     """The bytes in pieces, cut at these places."""
     marks = [0, *sorted({a % len(raw) for a in at}), len(raw)]
-    return [raw[a:b] for a, b in zip(marks, marks[1:], strict=False) if a < b]
+    return [raw[a:b] for a, b in itertools.pairwise(marks) if a < b]
 
 
 def bulk(size, fill=b"v"):
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -165,7 +165,7 @@
     stream = t.RequestClass(aim=1.0, deadline=2.0, stream=True)
     g = started("a", classes=(stream,))
     actions = g.handle(101.0, [request(1, patience=2.0)])
-    token = [x.token for x in pick(actions, t.SetTimer) if x.token][0]
+    token = next(x.token for x in pick(actions, t.SetTimer) if x.token)
     g.handle(101.1, [t.StreamStarted(1, 0, "a", 0.1)])
     assert not pick(g.handle(103.0, [t.TimerDue(token), t.TimerDue(0)]), (t.Fail, t.Refuse, t.Cancel))
 
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -1,5 +1,6 @@
 """The watch against a discovery of fixed capacity, under a fake clock; many gateways share it."""
 
+import itertools
 import random
 
 import pytest
@@ -165,4 +166,4 @@
     watch.run()
     for _ in range(2000):
         clock.advance(0.01)
-    assert max(b - a for a, b in zip(calls, calls[1:], strict=False)) <= 0.25
+    assert max(b - a for a, b in itertools.pairwise(calls)) <= 0.25
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -69,7 +69,7 @@
             if inner and inner not in MAY[home] | {home, "__version__", "Gateway"}:
                 wrong.append(f"{path.relative_to(ROOT)} imports {name}")
             pure = home in PURE or home in ("recovery", "membership")
-            pure = pure or home == "knowledge" and path.stem in KNOWLEDGE_PURE
+            pure = pure or (home == "knowledge" and path.stem in KNOWLEDGE_PURE)
             if pure and parts[0] in DOING:
                 wrong.append(f"{path.relative_to(ROOT)} decides and imports {name}")
     assert not wrong
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -151,25 +151,25 @@
         """Those are killed, lose what was on its way to them, and start again."""
         for me in who:
             del self.gateways[me]
-        self.run(0.6, BUSY)
+        self.run(0.6, busy_share)
         for me in who:
             self.start(me, 3)
 
 
-def BUSY(me):
+def busy_share(me):
     return 0.6 if me == 0 else 0.03
 
 
 @pytest.mark.parametrize("who", [0, 1, 2])
 def test_one_that_starts_again_takes_up_its_slice_from_its_neighbours(who):
     ring = Returning()
-    ring.run(10.0, BUSY)
+    ring.run(10.0, busy_share)
     before = ring.slices()
     assert before[0] > 0.6
     ring.again(who)
-    ring.run(0.6, BUSY)
+    ring.run(0.6, busy_share)
     assert ring.slices()[who] == pytest.approx(before[who], abs=0.1)
-    ring.run(1.0, BUSY)
+    ring.run(1.0, busy_share)
     assert sum(ring.slices().values()) == pytest.approx(1.0, abs=1e-9)
 
 
@@ -177,10 +177,10 @@
 @pytest.mark.parametrize("loss", [0.0, 0.12, 0.4])
 def test_slices_are_conserved_whoever_starts_again_and_whatever_is_lost(who, loss):
     ring, chance = Returning(), random.Random(loss)
-    ring.run(10.0, BUSY)
+    ring.run(10.0, busy_share)
     ring.lost = lambda sender, to, number: chance.random() < loss
     ring.again(*who)
-    ring.run(3.0, BUSY)
+    ring.run(3.0, busy_share)
     ring.lost = lambda *a: False
     ring.run(1.0, lambda me: 0.3)
     assert sum(ring.slices().values()) == pytest.approx(1.0, abs=1e-9)
@@ -188,11 +188,11 @@
 
 def test_a_neighbour_of_before_that_change_is_understood():
     ring = Returning()
-    ring.run(10.0, BUSY)
+    ring.run(10.0, busy_share)
     for g in ring.gateways.values():
         g.ledgers = None
     ring.again(0)
-    ring.run(2.0, BUSY)
+    ring.run(2.0, busy_share)
     assert sum(ring.slices().values()) == pytest.approx(1.0, abs=1e-9)
 
 
@@ -255,27 +255,27 @@
 @pytest.mark.parametrize("who", [0, 1, 2])
 def test_an_older_copy_of_a_store_gives_way_to_what_neighbours_hold(who):
     ring = Returning()
-    ring.run(2.0, BUSY)
+    ring.run(2.0, busy_share)
     older = stored(ring, who)
-    ring.run(10.0, BUSY)
+    ring.run(10.0, busy_share)
     now, low = ring.slices(), ring.gateways[(who + 1) % 3].accounts[7]
     del ring.gateways[who]
-    ring.run(0.6, BUSY)
+    ring.run(0.6, busy_share)
     made = brain.Gateway(settings(who, 3), seed=9)
     made.ledgers = Ledgers()
     made.remember(older)
     ring.gateways[who] = made
     ring.take(who, made.handle(ring.now, [servers("a", "b", "c")]))
     assert made.born > older.born
-    ring.run(0.6, BUSY)
+    ring.run(0.6, busy_share)
     assert ring.slices()[who] == pytest.approx(now[who], abs=0.1)
-    ring.run(1.0, BUSY)
+    ring.run(1.0, busy_share)
     assert sum(ring.slices().values()) == pytest.approx(1.0, abs=1e-9) and low.level <= PLAN.burst
 
 
 def test_where_all_started_again_the_stores_stand_in_for_the_neighbours():
     ring = Returning()
-    ring.run(10.0, BUSY)
+    ring.run(10.0, busy_share)
     before, stores = ring.slices(), [stored(ring, me) for me in range(3)]
     ring.now += 1.0
     ring.flight.clear()
@@ -284,9 +284,9 @@
         made.ledgers = Ledgers()
         made.remember(stores[me])
         ring.take(me, made.handle(ring.now, [servers("a", "b", "c")]))
-    ring.run(0.5, BUSY)
+    ring.run(0.5, busy_share)
     assert ring.slices()[0] == pytest.approx(before[0], abs=0.1)
-    ring.run(2.0, BUSY)
+    ring.run(2.0, busy_share)
     assert sum(ring.slices().values()) == pytest.approx(1.0, abs=1e-9)
 
 
@@ -324,12 +324,12 @@
 @pytest.mark.parametrize("who", [0, 1, 2])
 def test_one_whose_clock_was_set_back_is_heard_again_and_its_slice_lent_to_nobody(who, ledgers):
     ring = Returning()
-    ring.run(6.0, BUSY)
+    ring.run(6.0, busy_share)
     made = brain.Gateway(settings(who, 3, plans=(PLAN,)), seed=9)
     made.ledgers = ledgers()
     ring.gateways[who] = Behind(made)
     ring.take(who, ring.gateways[who].handle(ring.now, [servers("a", "b", "c")]))
-    ring.run(2.0, BUSY)
+    ring.run(2.0, busy_share)
     others = [g for me, g in ring.gateways.items() if me != who]
     assert not any(g.silent(who) for g in others) and made.born > 100_000
     assert all(g.slice(g.accounts[7]) == g.accounts[7].base() for g in others)
--- a/tests/test_wide.py
+++ b/tests/test_wide.py
@@ -1,5 +1,6 @@
 """Wide rings: totals over doubling distances, admission on the ring's level, servers for many gateways."""
 
+import itertools
 import random
 
 import pytest
@@ -122,7 +123,7 @@
     other = wide.ways(0, 0, 0, 200, 200)[1][1]
     times = [at for at, peer in made.notes if peer == other]
     assert 2 / made.teller.push_every - 1 <= len(times) <= 2 / made.teller.push_every + 1
-    assert all(b - a >= made.teller.push_every for a, b in zip(times, times[1:], strict=False))
+    assert all(b - a >= made.teller.push_every for a, b in itertools.pairwise(times))
     assert all(made.accounts[c].edges[other].told > 0 for c in (0, wide.HUBS))
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -109,7 +109,7 @@
 
 def test_readme_example_runs(capsys):
     text = (pathlib.Path(__file__).parents[1] / "README.md").read_text()
-    exec(re.search(r"```python\n(.*?)```", text, re.S).group(1), {})  # noqa: S102
+    exec(re.search(r"```python\n(.*?)```", text, re.S).group(1), {})
     assert "Send" in capsys.readouterr().out
 
 
