Keep idle client connections in queues by time, so that evicting one is O(1)

With the table full and 120 new connections a second the loop ran a fifth of a second late and acted on old news.

Change: queues in the order of their times, by what a connection is waited for and by its use; a connection moves when its state changes. One with unread bytes leaves the queue until it was read.

Tests: same victims and same expiry as the plain definition, which looks through all, over random events; no more than one look a victim in a full table. Each hook taken out alone (request begins, falls idle, half-close, closing, resume, end) fails tests/test_idle_connections.py. The guards in test_net_parsers.py set a connection's fields from outside; they now bring requests by line_up and flush, with the same assertions.

--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -46,6 +46,7 @@
 
     def __init__(self, gateway: Any) -> None:
         self.gateway, self.parser = gateway, Parser()
+        self.idle = gateway.descriptors.idle
         self.waiting: deque[RPC | Ready] = deque()  # in the order of their commands
         self.begun = 0.0  # when the first byte of a command that has not come whole was seen
         self.since = gateway.now()  # when it was connected or last fell idle
@@ -57,18 +58,13 @@
         self.body: RequestStream | None = None  # a command's long value on its way in
         self.kept = 0  # bytes of a long answer that its client has not taken, for the budget
 
-    @property
-    def spare(self) -> bool:
-        """Whether it has no work in hand and is not on its way out; half a command is no work."""
-        leaving = self.refused or self.half_closed or (self.closing and not self.parser.midway)
-        return not (self.waiting or leaving)
-
     def connectionMade(self) -> None:
         """Join the others, unless all descriptors are in use for something better."""
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)  # a client that reads no answers is not read either
         self.gateway.client_connections.add(self)
         self.closing = self.gateway.operators.standby  # served, then closed: no more come soon
+        self.idle.update(self)
         if not self.gateway.descriptors.for_client_connection():
             count("client_connection_refused")
             self.turn_away(b"-ERR max number of clients reached\r\n")
@@ -136,6 +132,7 @@
         rpc.client_connection = self
         self.asked += 1
         self.waiting.append(rpc)
+        self.idle.discard(self)
         if len(self.waiting) >= MOST_WAITING and not self.held:
             self.held = True
             self.regulate()
@@ -262,6 +259,7 @@
                 self.regulate()
         if not self.waiting:
             self.since = self.gateway.now()
+            self.idle.update(self)
             if self.refused:
                 if self.ended:
                     return
@@ -293,8 +291,14 @@
         """Read the client or not: it takes no answers, is owed many, or what it sends finds no room."""
         no_room = self.body is not None and self.body.waits is not None
         stop = self.held or self.transport.producerPaused or no_room
-        if stop is not self.paused:
-            super().pauseProducing() if stop else super().resumeProducing()
+        if stop is self.paused:
+            return
+        if stop:
+            super().pauseProducing()
+            self.gateway.descriptors.paused.add(self)
+        else:
+            super().resumeProducing()
+            self.gateway.descriptors.paused.discard(self)
 
     def cut(self) -> None:
         """An answer that was begun can't be finished: end here, so that its client can tell.
@@ -303,6 +307,7 @@
         """
         count("answer_cut_off")
         self.refused = self.ended = True
+        self.idle.discard(self)
         self.leave()
         self.end()
         self.gateway.reactor.callLater(LINGER, self.transport.abortConnection)
@@ -320,18 +325,21 @@
     def turn_away(self, reply: bytes) -> None:
         """End one that has sent nothing, without lingering: a crowd of those could fill the table."""
         self.refused = True
+        self.idle.discard(self)
         self.transport.write(reply)
         self.end()
 
     def drop(self) -> None:
         """Close at once, for another connection's sake; nothing is open on this one."""
         self.refused = True
+        self.idle.discard(self)
         self.transport.abortConnection()
 
     def close_when_idle(self) -> None:
         """Close between requests: now, or after the last answer. One that is about to be read is served."""
         if not self.closing and not self.refused:
             self.closing = True
+            self.idle.update(self)
             self.close_if_idle()
 
     def close_if_idle(self) -> None:
@@ -358,6 +366,7 @@
         What is on its way to a backend has a moment to get there, and each request has its answer first.
         """
         self.half_closed = True
+        self.idle.discard(self)
         if self.body is not None:
             count("command_cut_short")
             self.forget_body()
@@ -393,6 +402,8 @@
     def connectionLost(self, reason: Any = None) -> None:
         """The client has gone away: nobody waits for what it asked."""
         self.gateway.client_connections.discard(self)
+        self.idle.discard(self)
+        self.gateway.descriptors.paused.discard(self)
         self.gateway.budget.hold(self, 0)
         self.leave()
         self.gateway.client_connection_ended()
--- a/corkdeal/net/descriptors.py
+++ b/corkdeal/net/descriptors.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from .idle_connections import Awaited, IdleConnections, Use
 from .invariants import count
 
 SPARE = 24  # kept for the log, discovery, peers and what is being closed
@@ -20,6 +21,8 @@
 
     def __init__(self, most: int, client_connections: set[Any], now: Callable[[], float]) -> None:
         self.most, self.client_connections, self.now = most - SPARE, client_connections, now
+        self.idle = IdleConnections()
+        self.paused: set[Any] = set()  # client connections that are not read at present
         self.pool: Any = None
 
     def for_pool(self) -> int:
@@ -37,40 +40,40 @@
     def evict(self) -> bool:
         """Close a client that asked nothing, else once, else the one idle for longest; none with work."""
         now = self.now()
-        idle = [
-            c
-            for c in self.client_connections
-            if c.spare
-            and not (c.spoke and c.parser.midway)
-            and now - c.since >= (IDLE_LEAST if c.asked else SILENT_LEAST)
-        ]
-        idle.sort(key=lambda c: (min(c.asked, 2), c.since))
-        victim = next((c for c in idle if not c.unread()), None)  # one about to be read has work after all
-        if victim is None:
-            return False
-        count("client_connection_closed_for_another")
-        victim.drop()
-        return True
+        latest = {
+            Use.NEVER_ASKED: now - SILENT_LEAST,
+            Use.ASKED_ONCE: now - IDLE_LEAST,
+            Use.ASKED_OFTEN: now - IDLE_LEAST,
+        }
+        while (victim := self.idle.next_to_evict(latest)) is not None:
+            if not victim.unread():
+                count("client_connection_closed_for_another")
+                victim.drop()
+                return True
+            self.idle.keep_until_read(victim)  # one about to be read has work after all
+        return False
 
     def sweep(self) -> None:
         """End connections that sent nothing or half a command, that idle for long, or whose clients left."""
-        for each in [c for c in self.client_connections if c.paused]:
+        for each in list(self.paused):
             each.look_behind()
         now, many = self.now(), len(self.client_connections) > self.most // 8
-        # one taken on standby is closing from its start, and is timed like the others until it speaks
-        for each in [
-            c for c in self.client_connections if c.spare or (c.closing and not c.spoke and not c.refused)
-        ]:
-            if each.body is not None:
-                continue  # a long value is looked after by itself
-            if each.parser.midway:
-                if now - each.begun > COMMAND_LATE and not each.unread():
-                    count("client_connection_without_command")
-                    each.refuse(LATE)
-            elif not each.spoke:
-                if now - each.since > (SILENT_LEAST if many else COMMAND_LATE) and not each.unread():
-                    count("client_connection_silent")
-                    each.turn_away(LATE)
-            elif now - each.since > (IDLE_LEAST if many else IDLE_MOST):
-                count("client_connection_idle")
-                each.close_when_idle()
+        self.sweep_half_commands(now - COMMAND_LATE)
+        self.sweep_silent(now - (SILENT_LEAST if many else COMMAND_LATE))
+        for each in self.idle.expiring[Awaited.NEXT_COMMAND].until(now - (IDLE_LEAST if many else IDLE_MOST)):
+            count("client_connection_idle")
+            each.close_when_idle()
+
+    def sweep_half_commands(self, latest: float) -> None:
+        """End connections with a command that began by `latest` and has not come whole."""
+        for each in self.idle.expiring[Awaited.REST_OF_COMMAND].until(latest):
+            if not each.unread():
+                count("client_connection_without_command")
+                each.refuse(LATE)
+
+    def sweep_silent(self, latest: float) -> None:
+        """End connections that were accepted by `latest` and have sent nothing."""
+        for each in self.idle.expiring[Awaited.FIRST_COMMAND].until(latest):
+            if not each.unread():
+                count("client_connection_silent")
+                each.turn_away(LATE)
--- /dev/null
+++ b/tests/net_fakes.py
@@ -0,0 +1,22 @@
+"""Client connections without a socket, for a gateway on a fake reactor."""
+
+import unittest.mock
+
+from twisted.internet.testing import StringTransport
+
+from corkdeal.net.client_connection import ClientConnections
+
+
+def connect(gateway):
+    """A client connection whose client has sent nothing so far; what is written stays in its transport."""
+    made = ClientConnections(gateway).buildProtocol(None)
+    transport = StringTransport()
+    transport.setTcpNoDelay = lambda on: None
+    transport.connected, transport.producerPaused, transport.dataBuffer = True, False, b""
+    transport._tempDataBuffer, transport.getHandle = [], lambda: transport
+    transport.recv = unittest.mock.Mock(side_effect=BlockingIOError)
+    transport.sendmsg = lambda parts: transport.write(b"".join(parts)) or sum(map(len, parts))
+    transport.loseWriteConnection = lambda: None
+    transport.abortConnection = lambda: made.connectionLost()
+    made.makeConnection(transport)
+    return made
--- /dev/null
+++ b/tests/test_idle_connections.py
@@ -0,0 +1,258 @@
+"""Queues of idle client connections choose as a look through all connections would, and cost no such look."""
+
+import dataclasses
+import itertools
+import json
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from twisted.internet.testing import MemoryReactorClock
+
+from corkdeal import interface as t
+from corkdeal.net import config, descriptors, gateway
+from corkdeal.net.idle_connections import Awaited, IdleConnections, TimeOrderedQueue, Use
+from corkdeal.net.resp import command
+
+from .net_fakes import connect
+from .net_world import SETTINGS
+
+PING = b"*1\r\n$4\r\nPING\r\n"
+GIVEN = {"listen": "127.0.0.1:6379", "discovery": "127.0.0.1:8500", "seed": "8c1f", "settings": SETTINGS}
+
+
+def made_gateway(sockets=100_000):
+    reactor = MemoryReactorClock()
+    made = gateway.Gateway(
+        reactor, dataclasses.replace(config.read(json.dumps(GIVEN).encode(), {}), sockets=sockets)
+    )
+    made.now = made.descriptors.now = reactor.seconds
+    return made, reactor
+
+
+def has_work_or_ends(c):
+    """The plain definition, over all connections: no spare one."""
+    return c.waiting or c.refused or c.half_closed or (c.closing and not c.parser.midway)
+
+
+def to_evict(connections, now):
+    """The plain definition: who would go for another connection, the first one first."""
+    idle = [
+        c
+        for c in connections
+        if not has_work_or_ends(c)
+        and not (c.spoke and c.parser.midway)
+        and now - c.since >= (descriptors.IDLE_LEAST if c.asked else descriptors.SILENT_LEAST)
+    ]
+    return sorted(idle, key=lambda c: (min(c.asked, 2), c.since))
+
+
+def expired(connections, now, many):
+    """The plain definition: whom a sweep ends, and why."""
+    found = {}
+    for c in connections:
+        if has_work_or_ends(c) and not (c.closing and not c.spoke and not c.refused and not c.half_closed):
+            continue
+        if c.body is not None:
+            continue
+        if c.parser.midway:
+            if now - c.begun >= descriptors.COMMAND_LATE:
+                found[c] = Awaited.REST_OF_COMMAND
+        elif not c.spoke:
+            if now - c.since >= (descriptors.SILENT_LEAST if many else descriptors.COMMAND_LATE):
+                found[c] = Awaited.FIRST_COMMAND
+        elif now - c.since >= (descriptors.IDLE_LEAST if many else descriptors.IDLE_MOST):
+            found[c] = Awaited.NEXT_COMMAND
+    return found
+
+
+def asks(connection):
+    """A request, which the decisions hold as there is no server."""
+    if not connection.parser.midway:
+        number = next(REQUEST_NUMBERS)
+        params = b"c=look,t=large,d=4000,units=1,spread=1,first=0"
+        connection.dataReceived(command(b"API.READ", b"%016x" % number, b"%016x" % number, params))
+
+
+def is_answered(connection):
+    owed = [rpc for rpc in connection.waiting if rpc.reply is None]
+    if owed:
+        connection.gateway.fail(t.Fail(owed[0].request.id))
+
+
+def half_command(connection):
+    if not connection.parser.midway:
+        connection.dataReceived(PING[:7])
+
+
+def rest_of_command(connection):
+    if connection.parser.midway and connection.body is None:
+        connection.dataReceived(PING[7:])
+
+
+def bad_long_command(connection):
+    """A command with a long value of a customer that can't be: it is read past."""
+    if not connection.parser.midway:
+        connection.dataReceived(b"*5\r\n$9\r\nAPI.WRITE\r\n$1\r\nx\r\n$1\r\nx\r\n$1\r\nx\r\n$70000\r\n..")
+
+
+def rest_of_long_command(connection):
+    if connection.body is not None:
+        connection.dataReceived(b"." * 69998 + b"\r\n")
+
+
+EVENTS = {
+    "half_command": half_command,
+    "rest_of_command": rest_of_command,
+    "bad_long_command": bad_long_command,
+    "rest_of_long_command": rest_of_long_command,
+    "ping": lambda c: c.parser.midway or c.dataReceived(PING),
+    "asks": asks,
+    "is_answered": is_answered,
+    "sends_no_more": lambda c: c.readConnectionLost(),
+    "is_to_close": lambda c: c.close_when_idle(),
+    "is_malformed": lambda c: c.dataReceived(b"?\r\n"),
+    "is_lost": lambda c: c.connectionLost(),
+}
+REQUEST_NUMBERS = itertools.count(1)
+AT_ANY_TIME = ("is_answered", "is_lost")  # the others come from a client that still sends
+
+
+def happens(name, connection):
+    """Have an event happen, unless the connection has come to an end that rules it out."""
+    ending = connection.refused or connection.half_closed or connection.transport.disconnecting
+    if not ending or name in AT_ANY_TIME:
+        EVENTS[name](connection)
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["accept"] * 4 + ["standby", *EVENTS]), st.integers(0, 5), st.floats(0.001, 1.5)
+    ),
+    max_size=60,
+)
+
+
+@settings(max_examples=400)
+@given(STEPS, st.randoms(use_true_random=False))
+def test_the_same_go_in_the_same_order_as_by_a_look_through_all(steps, chance):
+    made, reactor = made_gateway()
+    for name, which, wait in steps:
+        now = reactor.seconds()
+        open_now = sorted(made.client_connections, key=lambda c: c.since)
+        if name == "standby":
+            made.operators.standby = not made.operators.standby
+        elif name == "accept":
+            connect(made)
+        elif open_now:
+            happens(name, open_now[which % len(open_now)])
+        reactor.rightNow = now + wait  # timers of the connections stay out of this
+        check_expiry(made, reactor.seconds())
+    check_evictions(made, reactor, chance)
+
+
+def check_expiry(made, now):
+    for many in (False, True):
+        plain = expired(made.client_connections, now, many)
+        latest = {
+            Awaited.FIRST_COMMAND: descriptors.SILENT_LEAST if many else descriptors.COMMAND_LATE,
+            Awaited.REST_OF_COMMAND: descriptors.COMMAND_LATE,
+            Awaited.NEXT_COMMAND: descriptors.IDLE_LEAST if many else descriptors.IDLE_MOST,
+        }
+        queues = made.descriptors.idle.expiring
+        ours = {c: awaited for awaited, s in latest.items() for c in queues[awaited].until(now - s)}
+        assert ours == plain
+
+
+def check_evictions(made, reactor, chance):
+    """Evict all that go, some of which turn out to have bytes to be read."""
+    unread = {c: chance.random() < 0.3 for c in made.client_connections}
+    for c, has_bytes in unread.items():
+        c.unread = lambda has_bytes=has_bytes: has_bytes
+    while True:
+        before = set(made.client_connections)
+        plain = next((c for c in to_evict(before, reactor.seconds()) if not unread[c]), None)
+        evicted = made.descriptors.evict()
+        assert before - made.client_connections == ({plain} if plain else set())
+        assert evicted is (plain is not None)
+        if not evicted:
+            return
+
+
+def test_one_with_bytes_to_be_read_can_go_once_they_were():
+    made, reactor = made_gateway()
+    connection = connect(made)
+    reactor.advance(descriptors.SILENT_LEAST)
+    connection.unread = lambda: True
+    assert not made.descriptors.evict()
+    connection.dataReceived(PING)
+    connection.unread = lambda: False
+    reactor.advance(descriptors.SILENT_LEAST)
+    assert made.descriptors.evict()
+
+
+@pytest.mark.parametrize("spoken", [False, True])
+def test_a_full_table_is_not_looked_through_for_each_connection_or_sweep(spoken):
+    made, reactor = made_gateway(sockets=2048)
+    looks = []
+    room = made.descriptors.most - made.descriptors.for_pool()
+    for number in range(room):
+        connection = connect(made)
+        connection.unread = lambda number=number: looks.append(number)
+        if spoken:
+            connection.dataReceived(PING)
+    reactor.rightNow += descriptors.SILENT_LEAST
+    for _ in range(100):
+        connect(made)
+    assert looks == list(range(100))  # who was accepted first goes first, one look each
+
+
+def test_only_paused_connections_are_looked_behind():
+    made, _ = made_gateway()
+    looked = []
+    connections = [connect(made) for _ in range(5)]
+    for connection in connections:
+        connection.look_behind = lambda connection=connection: looked.append(connection)
+    for connection in connections[1:3]:
+        connection.held = True
+        connection.regulate()
+    connections[2].held = False
+    connections[2].regulate()
+    made.descriptors.sweep()
+    assert looked == connections[1:2]
+
+
+def test_no_ended_connection_stays_in_a_queue():
+    made, _ = made_gateway()
+    chance = random.Random(1)
+    for _ in range(200):
+        connection = connect(made)
+        for name in chance.choices(sorted(EVENTS), k=5):
+            if connection in made.client_connections:
+                happens(name, connection)
+        connection.connectionLost()
+    idle = made.descriptors.idle
+    queues = [*idle.expiring.values(), *idle.evictable.values()]
+    assert not any(queue.times for queue in queues) and not made.descriptors.paused
+
+
+def test_a_queue_keeps_its_order_where_a_time_does_not_change():
+    queue = TimeOrderedQueue()
+    first, second = object(), object()
+    queue.put(first, 1.0)
+    queue.put(second, 2.0)
+    queue.put(first, 1.0)
+    assert (queue.head_until(1.5), queue.until(2.0)) == (first, [first, second])
+    queue.put(first, 3.0)
+    assert (queue.head_until(1.5), queue.head_until(2.0), queue.until(2.5)) == (None, second, [second])
+
+
+def test_the_least_used_goes_first_even_if_another_was_idle_for_longer():
+    idle = IdleConnections()
+    often, once = object(), object()
+    idle.evictable[Use.ASKED_OFTEN].put(often, 1.0)
+    idle.evictable[Use.ASKED_ONCE].put(once, 2.0)
+    latest = dict.fromkeys(Use, 5.0)
+    assert idle.next_to_evict(latest) is once
+    assert idle.next_to_evict(latest | {Use.ASKED_ONCE: 1.5}) is often
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -16,6 +16,7 @@
 from corkdeal.net import client_connection as client_connection_module
 from corkdeal.net import descriptors as descriptors_module
 
+from .net_fakes import connect
 from .net_world import ROOT, SETTINGS
 
 GIVEN = {"listen": "127.0.0.1:6379", "discovery": "127.0.0.1:8500", "seed": "8c1f", "settings": SETTINGS}
@@ -266,17 +267,18 @@
         invariants.counts.clear()
 
     def client_connection(self):
-        made = gateway.client_connection.ClientConnections(self.gateway).buildProtocol(None)
-        transport = StringTransport()
-        transport.setTcpNoDelay = lambda on: None
-        transport.connected, transport.producerPaused, transport.dataBuffer = True, False, b""
-        transport._tempDataBuffer, transport.getHandle = [], lambda: transport
-        transport.recv = unittest.mock.Mock(side_effect=BlockingIOError)
-        transport.sendmsg = lambda parts: transport.write(b"".join(parts)) or sum(map(len, parts))
-        transport.loseWriteConnection = lambda: None
-        transport.abortConnection = lambda: made.connectionLost()
-        made.makeConnection(transport)
-        return made
+        return connect(self.gateway)
+
+    def asks(self, connection):
+        """Have it bring a request, which is not answered yet."""
+        connection.spoke = True
+        connection.line_up(types.SimpleNamespace(reply=None, response_stream=None, attempt=None))
+        return connection.waiting[-1]
+
+    def is_served(self, connection):
+        """Have it bring a request that is answered."""
+        self.asks(connection).reply = []
+        connection.flush()
 
     def test_a_request_not_read_yet_and_one_likely_under_way_keep_a_client_connection_from_closing(self):
         self.clock()
@@ -312,7 +314,7 @@
         silent, half, idle, busy = [self.client_connection() for _ in range(4)]
         half.dataReceived(b"*1\r\n$4\r\nPI")
         idle.dataReceived(b"*1\r\n$4\r\nPING\r\n")
-        busy.waiting.append(object())
+        self.asks(busy)
         self.reactor.advance(descriptors_module.COMMAND_LATE + 0.1)
         descriptors.sweep()
         for each in (silent, half):
@@ -327,11 +329,11 @@
     def test_many_client_connections_make_idle_and_silent_ones_end_sooner(self):
         descriptors = self.clock()
         idle, pinged, silent = [self.client_connection() for _ in range(3)]
-        idle.spoke, idle.asked = True, 1
+        self.is_served(idle)
         pinged.dataReceived(b"*1\r\n$4\r\nPING\r\n")
         crowd = [self.client_connection() for _ in range(descriptors.most // 8)]
         for each in crowd:
-            each.waiting.append(object())
+            self.asks(each)
         self.reactor.advance(descriptors_module.SILENT_LEAST + 0.01)
         descriptors.sweep()
         ended = [c.transport.disconnecting for c in (idle, pinged, silent)]
@@ -344,8 +346,8 @@
         descriptors = self.clock()
         most = descriptors.most - descriptors.for_pool()
         busy, idle = self.client_connection(), self.client_connection()
-        busy.waiting.append(object())
-        idle.spoke, idle.asked = True, 1
+        self.asks(busy)
+        self.is_served(idle)
         self.reactor.advance(descriptors_module.IDLE_LEAST)
         silent = [self.client_connection() for _ in range(most - 2)]
         for each in silent[::2]:  # a PING is no reason to keep one either
@@ -356,7 +358,7 @@
             self.assertEqual(new.transport.value(), b"")
             self.assertEqual(len(self.gateway.client_connections & set(silent)), left)
         for each in self.gateway.client_connections - {idle}:
-            each.waiting.append(object())
+            self.asks(each)
         self.client_connection()
         self.assertFalse(idle in self.gateway.client_connections)  # then the one idle for longest
         refused = self.client_connection()  # but none with work in hand
