Touch only the queues that an idle connection leaves or joins

Cause: each change of a client connection looked into all six queues, ten dictionary calls a change. Change: its place is kept, so a change touches the queues that it leaves and joins.

--- a/corkdeal/net/idle_connections.py
+++ b/corkdeal/net/idle_connections.py
@@ -14,12 +14,12 @@
 from typing import Any, Protocol
 
 
-class Awaited(enum.Enum):
+class Awaited(enum.IntEnum):
     """What a connection is waited for, and from when on."""
 
-    FIRST_COMMAND = enum.auto()  # since it was accepted
-    REST_OF_COMMAND = enum.auto()  # since the first byte of a command that has not come whole
-    NEXT_COMMAND = enum.auto()  # since it fell idle
+    FIRST_COMMAND = 0  # since it was accepted
+    REST_OF_COMMAND = 1  # since the first byte of a command that has not come whole
+    NEXT_COMMAND = 2  # since it fell idle
 
 
 class Use(enum.IntEnum):
@@ -30,6 +30,11 @@
     ASKED_OFTEN = 2
 
 
+Place = tuple[Awaited, Use | None]  # None where it is not evicted
+USES = tuple(Use)
+PLACES: dict[Place, Place] = {(a, use): (a, use) for a in Awaited for use in (*Use, None)}  # one object each
+
+
 class Parsing(Protocol):
     """What is asked of a connection's parser."""
 
@@ -85,29 +90,39 @@
     def __init__(self) -> None:
         self.expiring = {awaited: TimeOrderedQueue() for awaited in Awaited}
         self.evictable = {use: TimeOrderedQueue() for use in Use}
+        self.places: dict[Connection, Place] = {}
 
     def update(self, connection: Connection) -> None:
         """Put a connection where it belongs by its present state."""
-        awaited, use = awaited_of(connection), evictable_as(connection)
-        for awaited_here, queue in self.expiring.items():
-            if awaited_here is not awaited:
-                queue.discard(connection)
-            elif awaited is Awaited.REST_OF_COMMAND:
-                queue.put(connection, connection.begun)
-            else:
-                queue.put(connection, connection.since)
-        for use_here, queue in self.evictable.items():
-            if use_here is use:
-                queue.put(connection, connection.since)
-            else:
-                queue.discard(connection)
+        place = place_of(connection)
+        if place is None:
+            return self.discard(connection)
+        was = self.places.get(connection)
+        if was is not place:
+            self.places[connection] = place
+            if was is not None:
+                self.leave(connection, was, place)
+        awaited, use = place
+        begins_with_command = awaited is Awaited.REST_OF_COMMAND
+        self.expiring[awaited].put(connection, connection.begun if begins_with_command else connection.since)
+        if use is not None:
+            self.evictable[use].put(connection, connection.since)
+
+    def leave(self, connection: Connection, was: Place, place: Place) -> None:
+        """Take a connection from the queues in which it was and is no more; in others it keeps its turn."""
+        if was[0] is not place[0]:
+            self.expiring[was[0]].discard(connection)
+        if was[1] is not None and was[1] is not place[1]:
+            self.evictable[was[1]].discard(connection)
 
     def discard(self, connection: Connection) -> None:
         """It has got work or has ended."""
-        for queue in self.expiring.values():
-            queue.discard(connection)
-        for queue in self.evictable.values():
-            queue.discard(connection)
+        if (was := self.places.pop(connection, None)) is None:
+            return
+        awaited, use = was
+        self.expiring[awaited].discard(connection)
+        if use is not None:
+            self.evictable[use].discard(connection)
 
     def next_to_evict(self, latest: dict[Use, float]) -> Connection | None:
         """The least used one, idle for longest among those, that has been so since `latest` of its use."""
@@ -122,21 +137,21 @@
             queue.discard(connection)
 
 
-def awaited_of(connection: Connection) -> Awaited | None:
-    """What a connection is waited for; None for one that has work, ends, or has other time limits."""
+def place_of(connection: Connection) -> Place | None:
+    """What a connection is waited for and as what it is evictable; None for one that has work or ends.
+
+    One with a long value on its way in is neither: that has time limits of its own. Half a command is no
+    work before the first whole one. One that is closing and has sent nothing still expires, because a
+    connection accepted on standby is closing from its start.
+    """
     if connection.waiting or connection.refused or connection.half_closed or connection.body is not None:
         return None
     if connection.parser.midway:
-        return Awaited.REST_OF_COMMAND
-    if not connection.spoke:  # also while it is closing: one accepted on standby is so from its start
-        return Awaited.FIRST_COMMAND
-    return None if connection.closing else Awaited.NEXT_COMMAND
-
-
-def evictable_as(connection: Connection) -> Use | None:
-    """Its use, or None for one that is not evicted. Half a command is no work before the first whole one."""
-    if awaited_of(connection) is None:
-        return None
-    if connection.spoke if connection.parser.midway else connection.closing:
+        awaited, is_evictable = Awaited.REST_OF_COMMAND, not connection.spoke
+    elif not connection.spoke:
+        awaited, is_evictable = Awaited.FIRST_COMMAND, not connection.closing
+    elif connection.closing:
         return None
-    return Use(min(connection.asked, Use.ASKED_OFTEN))
+    else:
+        awaited, is_evictable = Awaited.NEXT_COMMAND, True
+    return PLACES[awaited, USES[min(connection.asked, Use.ASKED_OFTEN)] if is_evictable else None]
