Close the connection of a list given up, and follow one that has no length

Cause: Twisted's readBody, cancelled, closes nothing, for the transport of a response has no abortConnection (it warns of that): each body that stalled or trickled left a connection open, one every 3 s. A body without a length, which HTTP/1.1 ends with its connection, came as PartialDownloadError and counted as a failed call, so such a discovery was never followed. Nothing bounded a body that does not end but the 3 s. Change: a collector of the watch's own, that closes the connection when it is given up or over 32 MiB, and takes the end of the connection for the end of a body without a length; cut off that is no JSON. Measured: a minute of stalled and of trickling bodies leaves no connection behind. The fake of test_discovery_watch has loseConnection now, which a response's transport has, in place of abortConnection, which it has not; the test counts its calls.

--- a/corkdeal/net/discovery_watch.py
+++ b/corkdeal/net/discovery_watch.py
@@ -7,10 +7,13 @@
 from typing import Any
 
 import orjson
-from twisted.internet.defer import inlineCallbacks
+from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Protocol
 from twisted.internet.task import deferLater
-from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.python.failure import Failure
+from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.http import PotentialDataLoss
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
@@ -24,6 +27,7 @@
 ANSWER_LATE = 1.0  # s past that after which a call counts as lost; the rules deem us told at 2 s
 PLAIN_LATE = 3.0  # s for a call that need not wait
 CONNECT_LATE = 1.0  # s
+MOST_BODY = 32 << 20  # bytes of one answer; a list of thousands of backends takes under one
 TURNED_AWAY = {429, 503}  # what an overloaded service answers
 IN_LINE = 1.0  # s after which it has waited in line before: at once, it has cost no work
 
@@ -48,6 +52,40 @@
         return self.made
 
 
+class Body(Protocol):
+    """The body of one answer. Given up, it closes the connection, which Twisted's `readBody` leaves open."""
+
+    def __init__(self) -> None:
+        self.parts: list[bytes] = []
+        self.size = 0  # bytes
+        self.done: Deferred[bytes] = Deferred(lambda _: self.close())
+
+    def close(self) -> None:
+        """Take no more of it."""
+        if self.transport is not None:
+            self.transport.loseConnection()
+
+    def dataReceived(self, data: bytes) -> None:
+        """Keep a part, unless there are too many already."""
+        self.size += len(data)
+        if self.size > MOST_BODY:
+            self.parts.clear()
+            self.close()
+        else:
+            self.parts.append(data)
+
+    def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]
+        """The end of the body; one without a length ends with its connection, and cut off it is no JSON."""
+        if self.done.called:
+            return
+        if self.size > MOST_BODY:
+            self.done.errback(ListError(f"a list of over {MOST_BODY} bytes"))
+        elif reason.check(ResponseDone, PotentialDataLoss):
+            self.done.callback(b"".join(self.parts))
+        else:
+            self.done.errback(reason)
+
+
 class Watch:
     """One endless watch; each good list goes to `told`, a bad one is logged and kept out.
 
@@ -128,16 +166,18 @@
         self.waiting = asked = self.agent.request(b"GET", url)
         asked.addTimeout(limit, self.reactor)
         response = yield asked
-        self.waiting = reading = readBody(response)
+        body = Body()
+        self.waiting = reading = body.done
         reading.addTimeout(max(0.0, until - self.reactor.seconds()), self.reactor)
-        body = yield reading
+        response.deliverBody(body)
+        text = yield reading
         if response.code in TURNED_AWAY and not wait and self.reactor.seconds() - begun >= IN_LINE:
             raise Overloaded(f"discovery answered {response.code}")
         if response.code >= 500 or response.code in TURNED_AWAY:
             raise Unavailable(f"discovery answered {response.code}")
         if response.code != 200:
             raise ListError(f"discovery answered {response.code}")
-        return parse_list(orjson.loads(body), self.settings)
+        return parse_list(orjson.loads(text), self.settings)
 
     def stop(self) -> None:
         """Make no further call, end the one that is out, and tell nothing more."""
--- a/tests/test_discovery_outages.py
+++ b/tests/test_discovery_outages.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from corkdeal.net import discovery_watch
 from corkdeal.net.discovery_retry import RetryPauses
 
 from .discovery_world import ONE_WAY, Longest, World
@@ -130,6 +131,35 @@
     assert world.told_at <= world.settings.ask_every - FOR_THE_CALL + SLACK
 
 
+def test_a_list_without_length_that_ends_with_its_connection_is_told():
+    world = World(True, 3, fault="list without length cut off", begins=1.0, ends=3.0, drains_at=2.0)
+    world.discovery.spoil = lambda connection: (
+        world.discovery.answer(connection, world.discovery.body(True), length=False),
+        connection.loseConnection(),
+    )
+    world.run_until(3.0, told=True)
+    assert world.told_at is not None and world.told_at < 3.0
+
+
+@pytest.mark.parametrize("fault", LONGEST_CALL)
+def test_an_outage_leaves_no_connections_behind(fault):
+    world = World(True, 3, fault=fault, begins=1.0, ends=61.0, drains_at=2.0)
+    world.run_until(66.0)
+    assert world.told_at is not None
+    assert sum(not connection.ended for connection in world.discovery.connections) <= 1
+
+
+def test_a_list_without_end_is_given_up_and_not_kept():
+    world = World(True, 3, fault="head without body", begins=1.0, ends=2.0, drains_at=1.5)
+    world.discovery.spoil = lambda connection: (
+        connection.send(b"HTTP/1.1 200 OK\r\n\r\n"),
+        connection.send(b" " * (discovery_watch.MOST_BODY + 1)),
+    )
+    world.run_until(4.0, told=True)
+    assert world.told_at is not None
+    assert sum(not connection.ended for connection in world.discovery.connections) <= 1
+
+
 @pytest.mark.parametrize("gateways", SIZES)
 @pytest.mark.parametrize("pushed", [True, False], ids=["pushed", "asked"])
 @pytest.mark.parametrize("fault", ["refused", "silent", "HTTP 500", "wrong form"])
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -119,7 +119,7 @@
     code = 200
 
     def __init__(self, clock, head_after):
-        self.clock, self.head_after, self.calls = clock, head_after, []
+        self.clock, self.head_after, self.calls, self.given_up = clock, head_after, [], 0
 
     def request(self, method, url):
         self.calls.append(self.clock.seconds())
@@ -130,8 +130,9 @@
     def deliverBody(self, protocol):
         protocol.makeConnection(self)
 
-    def abortConnection(self):
+    def loseConnection(self):
         """The call was given up."""
+        self.given_up += 1
 
 
 @pytest.mark.parametrize("head_after", [0.0, 1.5, 2.9])
@@ -147,6 +148,7 @@
     gaps = [b - a for a, b in zip(agent.calls, agent.calls[1:], strict=False)]
     assert len(gaps) >= 5 and max(gaps) <= limit + 0.25 + 0.11
     assert told == []
+    assert agent.given_up >= len(agent.calls) - 1  # else each leaves an open connection behind
 
 
 def test_a_pushed_list_is_asked_for_again_within_the_grace_of_a_drain():
