Keep the watch up after a fault in who is told a list

Cause: Watch.run told a list outside of its try; an exception from the gateway's side ended the watch for good, with no later list and one line in the log. Found by reading. Change: it is logged with its trace and counted (list_not_taken), the call counts as failed, and the same change is asked for again after the usual pause. The new test fails without it: nothing is told any more.

--- a/corkdeal/net/discovery_watch.py
+++ b/corkdeal/net/discovery_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import traceback
 from collections.abc import Callable
 from typing import Any
 
@@ -124,12 +125,12 @@
             begun = self.reactor.seconds()
             try:
                 result = yield from self.call()
+                self.take(result)
             except Exception as error:  # discovery may be down, silent or wrong: the list held goes on
                 if self.running:
                     yield deferLater(self.reactor, self.failed(error, self.reactor.seconds() - begun))
             else:
                 self.pauses.after_success()
-                self.take(result)
 
     def failed(self, error: Exception, took: float) -> float:
         """Note a failed call; how many seconds to wait until the next one."""
@@ -149,8 +150,17 @@
             return
         first, self.met = not self.met, True
         if self.running and (first or result.complete or result.entries):
+            self.tell(result)
+        self.revision = result.revision  # last: what could not be told is asked for again
+
+    def tell(self, result: DiscoverySnapshot) -> None:
+        """Tell a list; a fault in who is told fails the call, and must not end the watch."""
+        try:
             self.told(result)
-        self.revision = result.revision
+        except Exception:
+            count("list_not_taken")
+            logs.event("list_not_taken", revision=result.revision, trace=traceback.format_exc())
+            raise
 
     @inlineCallbacks
     def call(self) -> Any:
--- a/tests/test_discovery_outages.py
+++ b/tests/test_discovery_outages.py
@@ -160,6 +160,21 @@
     assert sum(not connection.ended for connection in world.discovery.connections) <= 1
 
 
+def test_a_fault_in_who_is_told_does_not_end_the_watch():
+    world = World(True, 3, fault=None, begins=None, ends=0.0, drains_at=1.0)
+    hear, faults = world.watch.told, [ValueError("a fault in the gateway")] * 3
+
+    def told(snapshot):
+        if snapshot.entries and faults:
+            raise faults.pop()
+        hear(snapshot)
+
+    world.watch.told = told
+    world.run_until(10.0, told=True)
+    assert world.told_at is not None and not faults
+    assert len(world.discovery.calls) < 10
+
+
 @pytest.mark.parametrize("gateways", SIZES)
 @pytest.mark.parametrize("pushed", [True, False], ids=["pushed", "asked"])
 @pytest.mark.parametrize("fault", ["refused", "silent", "HTTP 500", "wrong form"])
