Read a list's members, addresses and figures in functions of their own

Messages and checks stay, but that an id that comes twice is told after the entry's other faults. The watch's errors end in Error (UnavailableError, OverloadedError). Tests of parsers, watch and layout pass.

--- a/corkdeal/net/discovery_snapshot.py
+++ b/corkdeal/net/discovery_snapshot.py
@@ -40,34 +40,51 @@
         raise ListError("complete must be true or false")
     if not isinstance(members, list):
         raise ListError("members must be a list")
-    entries, addresses = [], {}
-    for i, m in enumerate(members):
-        if not isinstance(m, dict):
-            raise ListError(f"members.{i} is no object")
-        name, at, phase = m.get("id"), m.get("host_port"), m.get("phase")
-        if not isinstance(name, str) or not name:
-            raise ListError(f"members.{i}.id must be text")
-        if name in addresses:
-            raise ListError(f"members.{i}.id comes twice: {name!r:.40}")
-        if not isinstance(phase, str) or phase not in STATES:
-            raise ListError(f"members.{i}.phase is unknown: {phase!r:.40}")
-        host, _, port = at.rpartition(":") if isinstance(at, str) else ("", "", "")
-        if not host or not port.isdecimal() or not 0 < int(port) < 65536:
-            raise ListError(f"members.{i}.host_port is no address: {at!r:.40}")
-        figures = [m.get("cell", 0), m.get("size", 1.0), m.get("up_since_ms", 0)]
-        for key, figure in zip(("cell", "size", "up_since_ms"), figures, strict=True):
-            if type(figure) not in (int, float) or figure < 0:
-                raise ListError(f"members.{i}.{key} must be a number, 0 or more")
-        addresses[name] = host, int(port)
-        entries.append(
-            t.ServerEntry(
-                name,
-                STATES[phase],
-                index(settings.zones, m.get("locality")),
-                int(figures[0]),
-                float(figures[1]),
-                index(settings.kinds, m.get("flavor")),
-                figures[2] / 1000,
-            )
-        )
+    entries: list[t.ServerEntry] = []
+    addresses: dict[str, tuple[str, int]] = {}
+    for number, member in enumerate(members):
+        path = f"members.{number}"
+        entry, address = parse_member(member, path, settings)
+        if entry.server in addresses:
+            raise ListError(f"{path}.id comes twice: {entry.server!r:.40}")
+        entries.append(entry)
+        addresses[entry.server] = address
     return DiscoverySnapshot(revision, raw["complete"], tuple(entries), addresses)
+
+
+def parse_member(member: Any, path: str, settings: t.Settings) -> tuple[t.ServerEntry, tuple[str, int]]:
+    """One backend of a list, and its address."""
+    if not isinstance(member, dict):
+        raise ListError(f"{path} is no object")
+    name, phase = member.get("id"), member.get("phase")
+    if not isinstance(name, str) or not name:
+        raise ListError(f"{path}.id must be text")
+    if not isinstance(phase, str) or phase not in STATES:
+        raise ListError(f"{path}.phase is unknown: {phase!r:.40}")
+    address = parse_address(member.get("host_port"), path)
+    entry = t.ServerEntry(
+        name,
+        STATES[phase],
+        index(settings.zones, member.get("locality")),
+        int(figure(member, "cell", 0, path)),
+        float(figure(member, "size", 1.0, path)),
+        index(settings.kinds, member.get("flavor")),
+        figure(member, "up_since_ms", 0, path) / 1000,
+    )
+    return entry, address
+
+
+def parse_address(raw: Any, path: str) -> tuple[str, int]:
+    """Host and port of a backend."""
+    host, _, port = raw.rpartition(":") if isinstance(raw, str) else ("", "", "")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ListError(f"{path}.host_port is no address: {raw!r:.40}")
+    return host, int(port)
+
+
+def figure(member: dict[str, Any], key: str, default: float, path: str) -> float:
+    """A number of a backend's, 0 or more."""
+    value = member.get(key, default)
+    if type(value) not in (int, float) or value < 0:
+        raise ListError(f"{path}.{key} must be a number, 0 or more")
+    return value
--- a/corkdeal/net/discovery_watch.py
+++ b/corkdeal/net/discovery_watch.py
@@ -33,11 +33,11 @@
 IN_LINE = 1.0  # s after which it has waited in line before: at once, it has cost no work
 
 
-class Unavailable(Exception):
+class UnavailableError(Exception):
     """Discovery has no answer now; the list held, and its revision, go on."""
 
 
-class Overloaded(Unavailable):
+class OverloadedError(UnavailableError):
     """Discovery turned a call away that had waited in its line."""
 
 
@@ -140,7 +140,7 @@
         if isinstance(error, ListError):
             self.revision = None
         self.pool.closeCachedConnections()  # one that fell silent in the pause would cost another call
-        return self.pauses.after_failure(took, isinstance(error, Overloaded))
+        return self.pauses.after_failure(took, isinstance(error, OverloadedError))
 
     def take(self, result: DiscoverySnapshot) -> None:
         """Follow a good list: tell it, or ask for all of it where discovery began anew."""
@@ -182,9 +182,9 @@
         response.deliverBody(body)
         text = yield reading
         if response.code in TURNED_AWAY and not wait and self.reactor.seconds() - begun >= IN_LINE:
-            raise Overloaded(f"discovery answered {response.code}")
+            raise OverloadedError(f"discovery answered {response.code}")
         if response.code >= 500 or response.code in TURNED_AWAY:
-            raise Unavailable(f"discovery answered {response.code}")
+            raise UnavailableError(f"discovery answered {response.code}")
         if response.code != 200:
             raise ListError(f"discovery answered {response.code}")
         return parse_list(orjson.loads(text), self.settings)
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -33,7 +33,7 @@
         if self.free_at - now <= PATIENCE:
             self.later(watch, done, self.free_at - now)
         else:
-            self.clock.callLater(PATIENCE, done.errback, discovery_watch.Overloaded("503"))
+            self.clock.callLater(PATIENCE, done.errback, discovery_watch.OverloadedError("503"))
         return done
 
     def later(self, watch, done, wait):
@@ -73,7 +73,7 @@
     clock, told = Clock(), []
     discovery = Discovery(clock)
     failures = [
-        discovery_watch.Unavailable("503"),
+        discovery_watch.UnavailableError("503"),
         TimeoutError(),
         discovery_snapshot.ListError("revision"),
         None,
@@ -161,7 +161,7 @@
     def call():  # refused at once, for as long as discovery is down
         calls.append(clock.seconds())
         done = Deferred()
-        done.errback(discovery_watch.Unavailable("down"))
+        done.errback(discovery_watch.UnavailableError("down"))
         return done
 
     watch.call = call
