Measure how soon gateways started at once are ready, step by step

Starts by the deploy file's command, 1 to 100 at once, on the machine as it is and with a busy loop a core beside, from a tree as built, one without bytecode, one that lost its files' times, and on a full disk.

--- /dev/null
+++ b/benchmarks/readiness.py
@@ -0,0 +1,337 @@
+"""How soon gateways started at once answer PING, in which step the time goes, and what a start costs.
+
+PYTHONPATH=. python -O benchmarks/readiness.py [--counts 1,20,100] [--forms NAME|NAME] [--machine idle,loaded]
+                                               [--against DIR] [--out FILE]
+
+Each process is started by the `run` line of deploy/balancer.toml, from the tree as built (`make build`) or
+from a copy of it. DIR is another revision's checkout, built as well, whose processes are started in turn with
+this one's. Time counts from the call that starts the process to +PONG on its clients' address, discovery
+being there. On the loaded machine one busy loop a core runs beside. A set of processes that the machine's
+free memory does not hold is left out, and said so. Other work on the machine changes the times: compare CPU
+seconds, or two trees in one run.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import itertools
+import json
+import os
+import pathlib
+import shutil
+import signal
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+import tomllib
+from collections.abc import Callable, Iterator
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from corkdeal.standin import fleet
+from corkdeal.standin.discovery import Discovery
+
+ROOT = pathlib.Path(__file__).parents[1]
+PROBE = pathlib.Path(__file__).with_name("readiness_probe")
+PLANS = [{"name": "small", "quota_rate": 10.0, "store_size": 20.0}]
+BACKENDS = 20
+LOOK_EVERY = 0.02  # s between looks whether a process answers whose port is open
+READY_MOST = 120.0  # s
+PROCESS_MB = 40  # of memory for one process, and some to spare
+STARTS_LEAST = 10  # of a measurement: sets of fewer processes are started again
+WITHIN = (6.0, 10.0)  # s, the limits that a start is held against
+BUSY_LOOP = f"import time\nend = time.monotonic() + {READY_MOST}\nwhile time.monotonic() < end: pass"
+NOT_COPIED = ("tests", "journal", "docs", ".git", "ruff*", "pip", "setuptools", "hypothesis")
+
+
+@dataclass(frozen=True)
+class Start:
+    """One process's way to its first answer; all in s, steps by the clock on the wall."""
+
+    ready: float
+    cpu: float  # of the process until then
+    waiting_for_core: float  # ready to run, and not run
+    interpreter: float
+    imports: float
+    imports_cpu: float
+    settings: float  # reading them and the operators' file, and joining the gateway together
+    discovery: float  # from the call of discovery to the open port
+    answer: float  # from the open port to the answer, as seen from outside
+
+
+@dataclass(frozen=True)
+class Form:
+    """How the tree that is started lies on the disk."""
+
+    package_bytecode: bool = True
+    library_bytecode: bool = True
+    writable: bool = True  # whether bytecode can be written
+    keeps_times: bool = True  # of the copied files
+    disk_full: bool = False
+
+
+FORMS = {
+    "built": Form(),
+    "disk full, copied without times": Form(keeps_times=False, disk_full=True),
+    "package not compiled": Form(package_bytecode=False, writable=False),
+    "nothing compiled": Form(package_bytecode=False, library_bytecode=False, writable=False),
+    "disk full": Form(disk_full=True),
+    "disk full, nothing compiled": Form(package_bytecode=False, library_bytecode=False, disk_full=True),
+}
+
+
+class Process:
+    """One gateway's process, started by the deploy file's command."""
+
+    def __init__(self, gateway: fleet.Gateway, run: str, tree: pathlib.Path, disk_full: bool) -> None:
+        self.gateway, self.run, self.tree, self.disk_full = gateway, run, tree, disk_full
+        self.process: subprocess.Popen[bytes] | None = None
+        self.pipe: Any = None  # the end that the probe's lines are read from
+        self.began = 0.0
+
+    def begin(self) -> None:
+        """Start it; nothing is waited for."""
+        gateway = self.gateway
+        gateway.path.write_text(json.dumps({**gateway.config, "known": None, "seed": "1"}))
+        read_end, write_end = os.pipe()
+        self.pipe = open(read_end, "rb", buffering=0)  # noqa: SIM115 (`end` closes it)
+        env = {
+            **os.environ,
+            "PYTHONPATH": str(PROBE),
+            "RELAY_CONFIG": str(gateway.path),
+            "READINESS_DISCOVERY": gateway.config["discovery"],
+            "READINESS_LISTEN": gateway.listen,
+            "READINESS_PIPE": str(write_end),
+        }
+        env.pop("PYTHONDONTWRITEBYTECODE", None)
+        with open(gateway.log, "ab") as log:
+            self.began = time.monotonic()
+            self.process = subprocess.Popen(
+                ["/bin/sh", "-c", self.run],
+                cwd=self.tree,
+                env=env,
+                stdout=log,
+                stderr=log,
+                pass_fds=[write_end],
+                preexec_fn=self.prepare,
+            )
+        os.close(write_end)
+
+    def prepare(self) -> None:
+        """In the process just made, before the program."""
+        fleet.die_with_parent()
+        if self.disk_full:
+            fleet.limit_files(0, True)
+
+    async def ready(self) -> Start:
+        """Wait until its port is open and then for its first answer; nobody looks at it before."""
+        async with asyncio.timeout(READY_MOST):
+            steps = await self.steps()
+            while not await self.gateway.answers():
+                await asyncio.sleep(LOOK_EVERY)
+            return self.start_seen(steps, time.monotonic())
+
+    async def steps(self) -> dict[str, dict[str, Any]]:
+        """What the probe in the process tells, until its port is about to open."""
+        reader = asyncio.StreamReader()
+        loop = asyncio.get_running_loop()
+        await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), self.pipe)
+        steps: dict[str, dict[str, Any]] = {}
+        while "listening" not in steps:
+            if not (line := await reader.readline()):
+                raise fleet.Ended(f"ended at its start: {self.gateway.log.read_text()[-2000:]}")
+            step = json.loads(line)
+            steps[step["step"]] = step
+        return steps
+
+    def start_seen(self, steps: dict[str, dict[str, Any]], answered: float) -> Start:
+        """Put together what the kernel and the probe tell of a start that is over."""
+        assert self.process is not None
+        on_core, waited, _ = pathlib.Path(f"/proc/{self.process.pid}/schedstat").read_text().split()
+        up, settings = steps["interpreter up"], steps["settings"]
+        discovery, listening = steps["discovery"], steps["listening"]
+
+        def without_imports(one: dict[str, Any], other: dict[str, Any]) -> float:
+            return other["at"] - one["at"] - (other["import_wall_s"] - one["import_wall_s"])
+
+        return Start(
+            ready=answered - self.began,
+            cpu=int(on_core) / 1e9,
+            waiting_for_core=int(waited) / 1e9,
+            interpreter=up["at"] - self.began + without_imports(up, settings),
+            imports=listening["import_wall_s"],
+            imports_cpu=listening["import_cpu_s"],
+            settings=without_imports(settings, discovery),
+            discovery=without_imports(discovery, listening),
+            answer=answered - listening["at"],
+        )
+
+    def end(self) -> None:
+        """Kill it and free what it held."""
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+        if self.pipe is not None:
+            self.pipe.close()
+
+
+@contextlib.contextmanager
+def busy_machine(loops: int) -> Iterator[None]:
+    """So many busy loops beside what is measured; each ends by itself as well."""
+    made = [
+        subprocess.Popen([sys.executable, "-c", BUSY_LOOP], preexec_fn=fleet.die_with_parent)
+        for _ in range(loops)
+    ]
+    try:
+        yield
+    finally:
+        for each in made:
+            each.kill()
+            each.wait()
+
+
+def ignored(tree: pathlib.Path, form: Form) -> Callable[[str, list[str]], set[str]]:
+    """What a copy of the tree leaves out, as shutil.copytree asks for it."""
+    never = shutil.ignore_patterns(*NOT_COPIED)
+
+    def leave_out(folder: str, names: list[str]) -> set[str]:
+        is_library = ".venv" in pathlib.Path(folder).relative_to(tree).parts
+        has_bytecode = form.library_bytecode if is_library else form.package_bytecode
+        return never(folder, names) | (set() if has_bytecode else {"__pycache__"} & set(names))
+
+    return leave_out
+
+
+def laid_out(tree: pathlib.Path, form: Form, folder: pathlib.Path) -> pathlib.Path:
+    """The tree as a form of it asks, copied if need be."""
+    if form in (FORMS["built"], FORMS["disk full"]):
+        return tree
+    copy_file = shutil.copy2 if form.keeps_times else shutil.copy
+    shutil.copytree(
+        tree, folder, symlinks=True, ignore=ignored(tree, form), copy_function=copy_file, dirs_exist_ok=True
+    )
+    if not form.writable:  # a file in the folder's place keeps bytecode out whatever this process may do
+        for source in [*folder.rglob("*.py")]:
+            taken = source.with_name("__pycache__")
+            if not taken.exists():
+                taken.touch()
+    return folder
+
+
+def memory_free_mb() -> int:
+    """Memory that new processes can have."""
+    lines = pathlib.Path("/proc/meminfo").read_text().splitlines()
+    return next(int(line.split()[1]) for line in lines if line.startswith("MemAvailable")) // 1024
+
+
+def backends() -> list[dict[str, Any]]:
+    """A list as discovery tells it; nobody is there."""
+    common = {"locality": fleet.HALLS[0], "flavor": "standard", "phase": "Ready", "size": 1.0}
+    return [
+        {"id": f"s{i}", "host_port": f"127.0.0.1:{i + 1}", "cell": i, "up_since_ms": 0, **common}
+        for i in range(BACKENDS)
+    ]
+
+
+async def started_at_once(count: int, tree: pathlib.Path, form: Form, run: str) -> list[Start]:
+    """Start so many processes at once, and wait until each has answered."""
+    discovery = Discovery(backends)
+    await discovery.start()
+    with tempfile.TemporaryDirectory() as folder:
+        made = fleet.tier(count, discovery.port, pathlib.Path(folder), PLANS)
+        processes = [Process(gateway, run, tree, form.disk_full) for gateway in made]
+        try:
+            for process in processes:
+                process.begin()
+            return list(await asyncio.gather(*(process.ready() for process in processes)))
+        finally:
+            for process in processes:
+                process.end()
+            discovery.close()
+
+
+def nine_in_ten(values: list[float]) -> float:
+    """The least value that at least nine in ten do not exceed."""
+    return sorted(values)[-(-9 * len(values) // 10) - 1]
+
+
+def summary(starts: list[Start]) -> dict[str, Any]:
+    """Of all starts of one kind: when nine in ten were ready, and the medians of what it took."""
+    ready = [start.ready for start in starts]
+    columns = {name: [asdict(start)[name] for start in starts] for name in asdict(starts[0])}
+    return {
+        "starts": len(starts),
+        "ready_nine_in_ten_s": round(nine_in_ten(ready), 3),
+        "ready_most_s": round(max(ready), 3),
+        "share_within": {f"{most:g} s": sum(r <= most for r in ready) / len(ready) for most in WITHIN},
+        "median_s": {name: round(statistics.median(column), 3) for name, column in columns.items()},
+    }
+
+
+def measured(
+    form_name: str, count: int, is_loaded: bool, trees: list[pathlib.Path], run: str, starts_least: int
+) -> list[dict[str, Any]]:
+    """One line of the table for each tree; a set of one tree is started, then one of the next, and again."""
+    named = [
+        {"form": form_name, "tree": number, "at_once": count, "loaded": is_loaded}
+        for number in range(len(trees))
+    ]
+    if memory_free_mb() < count * PROCESS_MB:
+        left_out = f"{memory_free_mb()} MB free, {count * PROCESS_MB} MB needed"
+        return [{**line, "left_out": left_out} for line in named]
+    form, starts = FORMS[form_name], [[] for _ in trees]
+    loops = (os.cpu_count() or 1) if is_loaded else 0
+    with tempfile.TemporaryDirectory() as folder:
+        laid = [laid_out(tree, form, pathlib.Path(folder, str(number))) for number, tree in enumerate(trees)]
+        with busy_machine(loops):
+            while len(starts[-1]) < starts_least:
+                for tree, seen in zip(laid, starts, strict=True):
+                    seen += asyncio.run(started_at_once(count, tree, form, run))
+    return [{**line, **summary(seen)} for line, seen in zip(named, starts, strict=True)]
+
+
+def shown(line: dict[str, Any]) -> str:
+    """A line of the table."""
+    which = "other" if line["tree"] else "this"
+    head = f"| {line['form']} | {which} | {line['at_once']} | {'loaded' if line['loaded'] else 'idle'} | "
+    if "left_out" in line:
+        return f"{head}left out: {line['left_out']} |"
+    median = line["median_s"]
+    steps = ("cpu", "waiting_for_core", "interpreter", "imports", "settings", "discovery", "answer")
+    times = [line["ready_nine_in_ten_s"], line["ready_most_s"], *(median[step] for step in steps)]
+    return head + " | ".join(f"{t:.2f}" for t in times) + " |"
+
+
+def main() -> None:
+    """Measure and write."""
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    parser.add_argument("--counts", default="1,20,100")
+    parser.add_argument("--forms", default="|".join(FORMS), help="separated by |")
+    parser.add_argument("--machine", default="idle,loaded")
+    parser.add_argument("--starts", type=int, default=STARTS_LEAST, help="at least, for each line")
+    parser.add_argument("--against", type=pathlib.Path)
+    parser.add_argument("--out", type=pathlib.Path)
+    given = parser.parse_args()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))  # so that what was started is ended
+    trees = [ROOT] + ([given.against.resolve()] if given.against else [])
+    run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+    results = []
+    steps = "cpu | waiting for a core | interpreter | imports | settings | discovery | answer"
+    print(f"| form | tree | at once | machine | nine in ten | slowest | {steps} |")
+    print("| --- " * 13 + "|")
+    counts = [int(count) for count in given.counts.split(",")]
+    for form, count, machine in itertools.product(given.forms.split("|"), counts, given.machine.split(",")):
+        lines = measured(form, count, machine == "loaded", trees, run, given.starts)
+        results += lines
+        print("\n".join(map(shown, lines)), flush=True)
+    if given.out:
+        report = {"run": run, "cores": os.cpu_count(), "python": sys.version.split()[0], "lines": results}
+        given.out.write_text(json.dumps(report, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
