Keep bytecode valid in a copy that loses the times of its files, and test starts

tests/test_start.py starts the program by the run line from a copy of the tree: what is not loaded before the first answer, and starts on a full disk, where nothing can be written and without bytecode. Its test of a copy without times fails without the Makefile's change; the others hold what was so.

--- a/Makefile
+++ b/Makefile
@@ -6,14 +6,17 @@
 .PHONY: build dev test lint run
 
 # A gateway may find no writable disk at its start, and pip compiles nothing for -O: without this every
-# start compiles all of Twisted anew.
+# start compiles all of Twisted anew. By default bytecode goes by its source's time, which not every copy of
+# a tree keeps; checked-hash goes by what the source holds.
+COMPILE = $(BIN)/python -O -m compileall -q --invalidation-mode checked-hash
+
 build: $(VENV)/built
-	$(BIN)/python -O -m compileall -q corkdeal
+	$(COMPILE) corkdeal
 
 $(VENV)/built: requirements.txt
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip -q install --disable-pip-version-check -r requirements.txt
-	$(BIN)/python -O -m compileall -q -j 0 -x '/(test|pip|setuptools)/' $(VENV)/lib
+	$(COMPILE) -j 0 -x '/(test|pip|setuptools)/' $(VENV)/lib
 	touch $@
 
 dev: $(VENV)/dev
--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,161 @@
+"""What a start by the deploy file's command loads and does before it serves; starts in bad conditions."""
+
+import json
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tomllib
+
+from corkdeal.standin.fleet import limit_files
+from tests.net_world import PATIENCE, ROOT, Program, free
+
+PROBE = ROOT / "tests" / "start_probe"
+LATE = (  # packages and modules for which the first answer does not wait
+    *("blake3", "click", "msgspec", "netaddr", "numpy", "radix", "structlog", "zstandard"),
+    *("twisted.web.resource", "twisted.web.server", "twisted.web.static"),
+    *("corkdeal.cli", "corkdeal.emulator", "corkdeal.experiment", "corkdeal.halls", "corkdeal.knowledge"),
+    *("corkdeal.memory", "corkdeal.net.ops", "corkdeal.net.succession", "corkdeal.standin"),
+)
+
+
+class Start(Program):
+    """The program started by `run` from a copy of the tree."""
+
+    is_built = True
+    has_library_bytecode = True
+    disk_full = False
+
+    def setUp(self):
+        super().setUp()
+        self.tree = pathlib.Path(self.folder.name, "tree")
+        self.tree.mkdir()
+        unbuilt = shutil.ignore_patterns("__pycache__")
+        for name in ("corkdeal", "deploy"):
+            shutil.copytree(ROOT / name, self.tree / name, ignore=unbuilt)
+        for name in ("Makefile", "requirements.txt"):
+            shutil.copy2(ROOT / name, self.tree)
+        (self.tree / ".venv").symlink_to(sys.prefix)
+        if self.is_built:
+            self.make_build()
+
+    def make_build(self):
+        """`make build`, on the virtual environment that there is."""
+        done = subprocess.run(
+            ["make", "-s", "-o", ".venv/built", "build"],
+            cwd=self.tree,
+            capture_output=True,
+            text=True,
+            timeout=PATIENCE,
+        )
+        self.assertEqual(done.returncode, 0, done.stderr)
+
+    def lose_times(self):
+        """All sources look changed, as in a copy that does not keep their times."""
+        for source in self.tree.glob("corkdeal/**/*.py"):
+            os.utime(source, (1, 1))
+
+    def keep_bytecode_out(self):
+        """No bytecode can be written beside a source, whatever this process may do: a file has its place."""
+        for folder in {source.parent for source in self.tree.glob("corkdeal/**/*.py")}:
+            (folder / "__pycache__").touch()
+
+    def run_program(self):
+        run = tomllib.loads((self.tree / "deploy" / "balancer.toml").read_text())["run"]
+        unwritable = {} if self.has_library_bytecode else {"PYTHONPYCACHEPREFIX": "/dev/null/none"}
+        self.process = subprocess.Popen(
+            ["/bin/sh", "-c", run],
+            cwd=self.tree,
+            env={
+                "PATH": "/usr/bin:/bin",
+                "PYTHONPATH": str(PROBE),
+                "START_LISTEN": self.config["listen"],
+                **unwritable,
+                **self.env,
+            },
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            preexec_fn=lambda: limit_files(0, True) if self.disk_full else None,
+        )
+
+    def started(self):
+        """Start it and wait for its first answer; what the probe told before it."""
+        self.start(config={"listen": free()}, a={})
+        client = self.client()
+        client.send(b"*1\r\n$4\r\nPING\r\n")
+        self.assertEqual(client.read(), [b"PONG"])
+        told = [line for line in self.lines if line.startswith("start_probe ")]
+        self.assertEqual(len(told), 1, self.lines)
+        return json.loads(told[0].removeprefix("start_probe "))
+
+    def compiled_here(self, told):
+        """Sources of the package that this start compiled."""
+        return [name for name in told["compiled"] if name.startswith(str(self.tree / "corkdeal"))]
+
+
+class Usual(Start):
+    """A start from a tree that was built."""
+
+    def test_what_the_first_answer_does_not_need_is_not_loaded_before_it(self):
+        told = self.started()
+        self.assertIn("corkdeal.net.recovery", told["modules"])  # `run` switches it on
+        late = [m for m in told["modules"] if any(m == name or m.startswith(name + ".") for name in LATE)]
+        self.assertEqual(late, [])
+
+    def test_nothing_of_it_is_compiled(self):
+        self.assertEqual(self.compiled_here(self.started()), [])
+
+    def test_a_copy_that_lost_the_times_of_its_files_is_not_compiled_again(self):
+        self.lose_times()
+        self.assertEqual(self.compiled_here(self.started()), [])
+
+    def test_a_source_that_was_changed_after_the_build_is_what_runs(self):
+        source = self.tree / "corkdeal" / "net" / "__init__.py"
+        source.write_text(source.read_text() + "\nimport colorsys\n")
+        told = self.started()
+        self.assertIn("colorsys", told["modules"])
+        self.assertEqual(self.compiled_here(told), [str(source)])
+
+
+class ReadOnly(Start):
+    """The package was not compiled, and nothing can be written beside it."""
+
+    is_built = False
+
+    def test_it_becomes_ready(self):
+        self.keep_bytecode_out()
+        self.assertTrue(self.compiled_here(self.started()))
+
+
+class WithoutBytecode(Start):
+    """Nothing was compiled, of the libraries either, and nothing that is compiled can be kept."""
+
+    is_built = False
+    has_library_bytecode = False
+
+    def test_it_becomes_ready(self):
+        told = self.started()
+        self.assertTrue(self.compiled_here(told))
+        self.assertTrue([name for name in told["compiled"] if "/twisted/" in name])
+
+
+class FullDisk(Start):
+    """No file can grow: neither the log nor bytecode can be written."""
+
+    is_built = False
+    disk_full = True
+
+    def test_it_becomes_ready(self):
+        self.assertTrue(self.compiled_here(self.started()))
+        self.assertEqual([*self.tree.glob("corkdeal/**/*.pyc")], [])
+
+
+class FullDiskBuilt(Start):
+    """The usual start, on a full disk."""
+
+    disk_full = True
+
+    def test_it_becomes_ready(self):
+        self.assertEqual(self.compiled_here(self.started()), [])
