Look for no garbage during a start

The collector ran about 90 times while a start loaded its modules, and once over all objects before it served: a fifth of the CPU time of a start, for 1,431 objects found. It is off until the gateway is joined together; what is loaded is frozen as before. The handler of SIGHUP is now set before Twisted is imported.

test_no_time_is_spent_on_looking_for_garbage_before_the_first_answer fails without the change (90 collections), and without either half of it.

--- a/corkdeal/net/__main__.py
+++ b/corkdeal/net/__main__.py
@@ -7,16 +7,17 @@
 import signal
 import sys
 
-from . import config
-
 GC_EVERY = 5000  # allocations more than frees; requests leave few cycles behind
 OPTIONS = "CORKDEAL_OPTIONS"  # names the operators' file; without it all that it could switch on is off
 
 
 def main() -> int:
     """Serve until a planned end; bad configuration ends it with a line a fault."""
+    gc.disable()  # a start makes next to no garbage; looking for it took a fifth of its CPU time
     early: list[int] = []  # reloads asked for after the file was read, maybe, and before there is a gateway
     signal.signal(signal.SIGHUP, lambda number, _: early.append(number))  # its default ends the process
+    from . import config
+
     options, path = None, os.environ.get(OPTIONS, "")
     try:
         given = config.load()
@@ -40,9 +41,9 @@
     if early:  # looked at last: from the line before on the other handler has them
         reactor.callFromThread(application.reload)
     reactor.callWhenRunning(application.start)
-    gc.collect()
     gc.freeze()  # what is loaded by now stays; later collections need not look at it
     gc.set_threshold(GC_EVERY, 10, 50)
+    gc.enable()
     reactor.run(installSignalHandlers=False)
     return 0
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -104,6 +104,9 @@
         late = [m for m in told["modules"] if any(m == name or m.startswith(name + ".") for name in LATE)]
         self.assertEqual(late, [])
 
+    def test_no_time_is_spent_on_looking_for_garbage_before_the_first_answer(self):
+        self.assertEqual(self.started()["collected"], [])
+
     def test_nothing_of_it_is_compiled(self):
         self.assertEqual(self.compiled_here(self.started()), [])
 
