--- a/benchmarks/readiness.py
+++ b/benchmarks/readiness.py
@@ -42,7 +42,7 @@
 LOOK_EVERY = 0.02  # s between looks whether a process answers whose port is open
 READY_MOST = 120.0  # s
 PROCESS_MB = 40  # of memory for one process, and some to spare
-STARTS_LEAST = 10  # of a measurement: sets of fewer processes are started again
+STARTS_LEAST, SETS_LEAST = 20, 2  # of a line of the table
 WITHIN = (6.0, 10.0)  # s, the limits that a start is held against
 BUSY_LOOP = f"import time\nend = time.monotonic() + {READY_MOST}\nwhile time.monotonic() < end: pass"
 NOT_COPIED = ("tests", "journal", "docs", ".git", "ruff*", "pip", "setuptools", "hypothesis")
@@ -275,7 +275,7 @@
 def measured(
     form_name: str, count: int, is_loaded: bool, trees: list[pathlib.Path], run: str, starts_least: int
 ) -> list[dict[str, Any]]:
-    """One line of the table for each tree; a set of one tree is started, then one of the next, and again."""
+    """One line of the table for each tree; sets of both are started in turn."""
     named = [
         {"form": form_name, "tree": number, "at_once": count, "loaded": is_loaded}
         for number in range(len(trees))
@@ -284,13 +284,15 @@
         left_out = f"{memory_free_mb()} MB free, {count * PROCESS_MB} MB needed"
         return [{**line, "left_out": left_out} for line in named]
     form, starts = FORMS[form_name], [[] for _ in trees]
+    order = list(range(len(trees)))
     loops = (os.cpu_count() or 1) if is_loaded else 0
     with tempfile.TemporaryDirectory() as folder:
         laid = [laid_out(tree, form, pathlib.Path(folder, str(number))) for number, tree in enumerate(trees)]
         with busy_machine(loops):
-            while len(starts[-1]) < starts_least:
-                for tree, seen in zip(laid, starts, strict=True):
-                    seen += asyncio.run(started_at_once(count, tree, form, run))
+            while len(starts[0]) < max(starts_least, SETS_LEAST * count):
+                for number in order:
+                    starts[number] += asyncio.run(started_at_once(count, laid[number], form, run))
+                order.reverse()  # so that what changes on the machine meanwhile meets both alike
     return [{**line, **summary(seen)} for line, seen in zip(named, starts, strict=True)]
 
 
