Tell a peers' port from the clients' port of the same number in what watches a start

The clients' addresses of the benchmark are now drawn together on a loopback address of their own as well, so that no two are the same.

--- a/benchmarks/readiness.py
+++ b/benchmarks/readiness.py
@@ -22,6 +22,7 @@
 import pathlib
 import shutil
 import signal
+import socket
 import statistics
 import subprocess
 import sys
@@ -242,8 +243,11 @@
     discovery = Discovery(backends)
     await discovery.start()
     with tempfile.TemporaryDirectory() as folder:
-        made = fleet.tier(count, discovery.port, pathlib.Path(folder), PLANS)
-        processes = [Process(gateway, run, tree, form.disk_full) for gateway in made]
+        gateways = fleet.tier(count, discovery.port, pathlib.Path(folder), PLANS)
+        addresses = fleet.free_ones(count, socket.SOCK_STREAM, fleet.own_host())
+        for gateway, address in zip(gateways, addresses, strict=True):  # no two the same, and no client's
+            gateway.listen = gateway.config["listen"] = address
+        processes = [Process(gateway, run, tree, form.disk_full) for gateway in gateways]
         try:
             for process in processes:
                 process.begin()
--- a/benchmarks/readiness_probe/sitecustomize.py
+++ b/benchmarks/readiness_probe/sitecustomize.py
@@ -10,6 +10,7 @@
 import os
 import sys
 import time
+from _socket import SOCK_STREAM  # the socket module is left for the program to import
 
 pipe = int(os.environ["READINESS_PIPE"])
 STEPS = {  # (audit event, what it names): the step that begins with it
@@ -53,7 +54,7 @@
     """An audit hook: each step is reported once."""
     if event == "open":
         named = arguments[0]
-    elif event in ("socket.connect", "socket.bind") and type(arguments[1]) is tuple:
+    elif event in ("socket.connect", "socket.bind") and arguments[0].type == SOCK_STREAM:
         named = f"{arguments[1][0]}:{arguments[1][1]}"
     else:
         return
--- a/tests/start_probe/sitecustomize.py
+++ b/tests/start_probe/sitecustomize.py
@@ -8,6 +8,7 @@
 import json
 import os
 import sys
+from _socket import SOCK_STREAM
 
 compiled = []  # sources that had no bytecode which could be used
 collected = []  # generations, since the first of Twisted was imported
@@ -21,7 +22,7 @@
         collected.clear()
     elif event == "compile" and isinstance(arguments[1], str) and arguments[1].endswith(".py"):
         compiled.append(arguments[1])
-    elif event == "socket.bind" and type(arguments[1]) is tuple:
+    elif event == "socket.bind" and arguments[0].type == SOCK_STREAM:
         host, port, *_ = arguments[1]
         if f"{host}:{port}" == awaited:
             awaited = None
