--- a/corkdeal/net/__main__.py
+++ b/corkdeal/net/__main__.py
@@ -13,7 +13,7 @@
 
 def main() -> int:
     """Serve until a planned end; bad configuration ends it with a line a fault."""
-    gc.disable()  # a start makes next to no garbage; looking for it took a fifth of its CPU time
+    gc.disable()  # a start makes next to no garbage; looking for it took up to a fifth of its CPU time
     early: list[int] = []  # reloads asked for after the file was read, maybe, and before there is a gateway
     signal.signal(signal.SIGHUP, lambda number, _: early.append(number))  # its default ends the process
     from . import config
