Close a client connection at once where another one takes its descriptor

Cause: Twisted closes an aborted connection, and one with bytes to write, at the next turn. Until then each holds a descriptor, and a late turn accepts a hundred connections: 737 descriptors were seen open of 672. Backend connections that had been closed and waited for their next turn were not counted either.

Change: who goes for another, or is turned away at the accept, is closed in the same turn, its answer written directly; closing backend connections count until they are closed.

--- a/corkdeal/net/backend_connection.py
+++ b/corkdeal/net/backend_connection.py
@@ -179,6 +179,7 @@
         if self.response_stream:
             self.response_stream.broken()
         if self.up:
+            self.pool.closing.add(self)
             try:
                 self.transport.getHandle().shutdown(socket.SHUT_RDWR)
             except OSError:
@@ -201,6 +202,7 @@
 
     def connectionLost(self, reason: Any = None) -> None:
         """Broken, closed by the backend, or closed here."""
+        self.pool.closing.discard(self)
         self.lost()
 
 
@@ -247,6 +249,9 @@
         self.addresses: dict[str, tuple[str, int]] = {}
         self.idle: dict[str, list[BackendConnection]] = {}
         self.open: set[BackendConnection] = set()
+        self.closing: set[BackendConnection] = (
+            set()
+        )  # closed here; each holds a descriptor until the next turn
         self.opened = 0  # since the start
         self.turn: Callable[[], bool] | None = None  # called before a write: whether the process stood still
 
--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -7,9 +7,11 @@
 from collections import deque
 from typing import Any
 
+from twisted.internet.error import ConnectionAborted, ConnectionDone
 from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import ServerFactory
 from twisted.protocols.basic import LineReceiver
+from twisted.python.failure import Failure
 from zope.interface import implementer
 
 from . import vectored_write
@@ -25,6 +27,7 @@
 LEFT_GRACE = 0.15  # s after a client's end of sending in which its requests may still get to a backend
 LINGER = 0.5  # s that a refused client connection stays open, unread, so that its client can read why
 OK = b"+OK\r\n"
+CLOSED, ABORTED = Failure(ConnectionDone()), Failure(ConnectionAborted())
 STANDBY = b"-ERR standby\r\n"  # PING's answer on standby: the front takes anything but PONG as a no
 
 
@@ -326,14 +329,17 @@
         """End one that has sent nothing, without lingering: a crowd of those could fill the table."""
         self.refused = True
         self.idle.discard(self)
-        self.transport.write(reply)
-        self.end()
+        vectored_write.write(self.transport, [reply])
+        self.transport.connectionLost(CLOSED)
 
     def drop(self) -> None:
-        """Close at once, for another connection's sake; nothing is open on this one."""
+        """Close at once, for another connection's sake; nothing is open on this one.
+
+        Twisted's abort waits for the next turn, and many connections may be accepted in this one.
+        """
         self.refused = True
         self.idle.discard(self)
-        self.transport.abortConnection()
+        self.transport.connectionLost(ABORTED)
 
     def close_when_idle(self) -> None:
         """Close between requests: now, or after the last answer. One that is about to be read is served."""
--- a/corkdeal/net/descriptors.py
+++ b/corkdeal/net/descriptors.py
@@ -31,11 +31,13 @@
 
     def for_client_connection(self) -> bool:
         """Whether a client connection just accepted may stay; one that is of less use goes for it."""
-        return len(self.client_connections) + self.for_pool() <= self.most or self.evict()
+        for_pool = max(self.for_pool(), len(self.pool.open) + len(self.pool.closing))
+        return len(self.client_connections) + for_pool <= self.most or self.evict()
 
     def for_backend_connection(self) -> bool:
         """Whether one more backend connection may be opened."""
-        return len(self.client_connections) + len(self.pool.open) < self.most or self.evict()
+        backends = len(self.pool.open) + len(self.pool.closing)
+        return len(self.client_connections) + backends < self.most or self.evict()
 
     def evict(self) -> bool:
         """Close a client that asked nothing, else once, else the one idle for longest; none with work."""
--- a/tests/net_fakes.py
+++ b/tests/net_fakes.py
@@ -18,5 +18,11 @@
     transport.sendmsg = lambda parts: transport.write(b"".join(parts)) or sum(map(len, parts))
     transport.loseWriteConnection = lambda: None
     transport.abortConnection = lambda: made.connectionLost()
+
+    def close_at_once(reason):
+        transport.disconnecting = True
+        made.connectionLost(reason)
+
+    transport.connectionLost = close_at_once
     made.makeConnection(transport)
     return made
