--- a/tests/net_world.py
+++ b/tests/net_world.py
@@ -1,10 +1,12 @@
 """Toy backends, discovery and clients on loopback for the real program; every wait is for an event."""
 
 import contextlib
+import copy
 import http.server
 import json
 import pathlib
 import queue
+import signal
 import socket
 import subprocess
 import sys
@@ -323,3 +325,58 @@
     def timed(self, act):
         began = time.monotonic()
         return act(), time.monotonic() - began
+
+
+def slow_settings(**limits):
+    """Aims so long that whatever waits goes on waiting for the whole test."""
+    settings = copy.deepcopy(SETTINGS)
+    for each in settings["classes"]:
+        each.update(aim_us=80_000_000, deadline_us=90_000_000)
+    settings["policy_limits"].update(connect_timeout_us=60_000_000, **limits)
+    return settings
+
+
+class Moments(Program):
+    """What these tests have in common."""
+
+    def patient(self, **more):
+        """Start with long aims."""
+        self.start(config={"settings": slow_settings()}, **more)
+
+    def seen(self, text):
+        """Wait for a line of the log that may have come already."""
+        if not any(text in line for line in self.lines):
+            self.line(text)
+
+    def freeze(self):
+        """Stop the program where it waits for something to happen, and return once it has stopped."""
+        self.until("S")
+        self.process.send_signal(signal.SIGSTOP)
+        self.until("T")
+
+    def until(self, state):
+        """Wait until the kernel says that of the process."""
+        stat = pathlib.Path(f"/proc/{self.process.pid}/stat")
+        while stat.read_text().rpartition(")")[2].split()[0] != state:
+            time.sleep(0.001)
+
+    def thaw(self, after=0.0, since=0.0):
+        """Let it go on, its timers of so many s by then overdue."""
+        time.sleep(max(0.0, since + after - time.monotonic()))
+        self.process.send_signal(signal.SIGCONT)
+
+    def crowded(self):
+        """A backend whose kernel takes no connection until `queue` is emptied, and what fills it."""
+        backend = self.world.add("a")
+        backend.listener.close()
+        listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.addCleanup(listener.close)
+        backend.entry["host_port"] = f"127.0.0.1:{listener.getsockname()[1]}"
+        filling = []
+        for _ in range(8):
+            sock = socket.socket()
+            sock.setblocking(False)
+            self.addCleanup(sock.close)
+            sock.connect_ex(listener.getsockname())
+            filling.append(sock)
+        return listener
