Read struct tcp_info and a peer's end in one module, tcp_state

The age of the newest bytes was read in recovery.py alone. Departures need the age of a FIN and whether one or a reset has come, behind unread bytes too. recovery.py uses the module; no behaviour changes.

--- a/corkdeal/net/recovery.py
+++ b/corkdeal/net/recovery.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-import socket
-import struct
 from typing import Any
 
 from .. import logs
@@ -17,12 +15,11 @@
 from ..recovery.pulse import Pulse
 from ..recovery.standing import RETRIES, Left, Standing
 from .invariants import count
+from .tcp_state import since_last_data
 
 LOOK_EVERY = 0.1  # s between looks, which are the beats
 SEE_WAIT = 0.25  # s that sends wait for discovery's first word after a pause, as at a start
 OLD_FOR = 2.0  # s after a pause in which bytes may still be read that came before its end
-LAST_DATA = struct.Struct("@I")  # tcpi_last_data_recv of struct tcp_info: ms since the newest bytes came
-LAST_DATA_AT, INFO_BYTES = 52, 64
 
 
 class Recovery:
@@ -132,9 +129,7 @@
         self.turn(now)
         if now - self.woke_at > OLD_FOR:
             return 0.0
-        try:
-            info = handle.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, INFO_BYTES)
-            age = LAST_DATA.unpack_from(info, LAST_DATA_AT)[0] / 1000
-        except (OSError, struct.error):  # not told here: nothing is known of its age
+        age = since_last_data(handle)
+        if age is None:  # nothing is known of it
             return 0.0
         return min(age, self.gap + now - self.woke_at)
