Begin no attempt for a client that has closed 0.05 s ago, however late the process is

No attempt may begin more than 0.1 s after a client's close.

Now the kernel is asked (poll with POLLRDHUP) in Gateway.send, and again when a connection opened for an attempt comes up. The FIN is dated by tcpi_last_ack_recv; where the kernel does not tell, from the last look at a connection that is not read, or from when a late turn of the loop was due. LEFT_GRACE is 0.05 s from that date. After a reset nothing begins. A paused connection has the same grace (before: none, but seen up to 0.1 s late).

On the revision before these fail, each for the request that is sent on: StoppedProcess whole (between two attempts, at the timer of a further one, while the connection to the backend comes up, each with a FIN and a reset; a request read with a FIN behind it; others and a FIN unread behind it; 200 at once at a process that runs 4 ms of 24), and of OnAFakeClock a late turn, a connection that is not read, and a reset while connecting. The other three of OnAFakeClock hold the grace itself up: they pass before and after. The fakes of two test files gain a fileno, as sockets have one.

--- a/corkdeal/net/backend_connection.py
+++ b/corkdeal/net/backend_connection.py
@@ -77,7 +77,8 @@
         self.transport.setTcpNoDelay(True)
         if self.attempt is None:
             return self.close()
-        self.begin(self.attempt)
+        if self.pool.may_write(self.attempt):
+            self.begin(self.attempt)
 
     def begin(self, attempt: Attempt) -> None:
         """Write an attempt; from its first byte on it counts as sent."""
@@ -226,8 +227,9 @@
 class Pool:
     """All backend connections, by backend; `finished` hears how each attempt ended, exactly once.
 
-    `passing` hears of the first bytes of a long answer, and tells whether somebody waits for it. `room` tells
-    whether the process can spare a descriptor for one more.
+    `passing` hears of the first bytes of a long answer, and tells whether somebody waits for it. `may_write`
+    tells whether an attempt may begin on a connection that has come up for it, and gives up one that may not.
+    `room` tells whether the process can spare a descriptor for one more.
     """
 
     def __init__(
@@ -239,10 +241,11 @@
         finished: Callable[[Attempt, Reply], None],
         room: Callable[[], bool],
         passing: Callable[[Attempt, ResponseStream], bool],
+        may_write: Callable[[Attempt], bool],
         budget: Budget,
     ) -> None:
         self.reactor, self.most, self.now, self.finished, self.room = reactor, most, now, finished, room
-        self.passing, self.budget = passing, budget
+        self.passing, self.may_write, self.budget = passing, may_write, budget
         aim = min(c.aim for c in settings.classes)
         self.connect_timeout = min(settings.connect_timeout, CONNECT_PART * aim)
         self.idle_limit = settings.conn_idle * IDLE_PART
--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import select
 import socket
 from collections import deque
 from typing import Any
@@ -21,10 +20,16 @@
 from .resp import Frame, Malformed, Parser
 from .response_stream import ResponseStream
 from .rpc import READ, RPC, WRITE, BadRequest
+from .tcp_state import PeerState, peer_state, since_fin
 
 MOST_WAITING = 256  # commands of one client connection without an answer; past that it is not read on
 MOST_BAD = 16  # bad requests of one connection; past that it is closed, so that a flood of them costs little
-LEFT_GRACE = 0.15  # s after a client's end of sending in which its requests may still get to a backend
+# A client that sends its request and its FIN together (`printf ... | nc`) still reads: its request may get to
+# a backend in the first LEFT_GRACE s. One that has closed looks the same, and no attempt for it may begin
+# more than 0.1 s after its close. The rest covers the tick in which the kernel dates a FIN (10 ms at most),
+# the way to the backend, and a process that loses the processor between its check and its write.
+LEFT_GRACE = 0.05  # s
+KERNEL_TICK = 0.01  # s, the longest there is
 LINGER = 0.5  # s that a refused client connection stays open, unread, so that its client can read why
 OK = b"+OK\r\n"
 CLOSED, ABORTED = Failure(ConnectionDone()), Failure(ConnectionAborted())
@@ -57,7 +62,15 @@
         self.bad = 0
         self.waited = 0.0  # s that what is being read lay here while the process stood still
         self.half_closed = self.closing = self.refused = False
-        self.held = self.reading = self.ended = self.left = False
+        self.held = self.reading = self.ended = False
+        self.closed_at: float | None = (
+            None  # when its client may have ended its sending; None: not known to have
+        )
+        self.left = False  # whether nothing more is begun for what its client asked
+        self.is_reset = (
+            False  # whether its client is known to have closed both ways, so that nobody reads an answer
+        )
+        self.seen_open_at = self.since  # when its client was last known to send on
         self.body: RequestStream | None = None  # a command's long value on its way in
         self.kept = 0  # bytes of a long answer that its client has not taken, for the budget
 
@@ -76,7 +89,7 @@
         """Take bytes; malformed ones cost this connection only. Answers go out together."""
         if self.refused:
             return
-        now = self.gateway.now()
+        now = self.seen_open_at = self.gateway.now()
         if self.gateway.recovery is not None:
             self.waited = self.gateway.recovery.waited(self.transport.getHandle(), now)
         begun = self.begun if self.parser.midway else now
@@ -378,30 +391,67 @@
             self.forget_body()
         if not self.waiting:
             self.end()
-        else:  # by way of one more turn: what came while this process was late is seen first
-            later = self.gateway.reactor.callLater
-            later(LEFT_GRACE, later, 0, self.client_left)
+        else:
+            self.half_close_seen(self.gateway.now())
+
+    def may_begin(self, now: float) -> bool:
+        """Whether an attempt for a request of its client may begin at this moment.
+
+        The kernel is asked, not what was read: where this process is late, or does not read this connection,
+        a FIN or a reset lies there unseen. That costs one system call for an attempt.
+        """
+        if not self.left:
+            self.look(now)
+        return not self.left and (self.closed_at is None or now < self.closed_at + LEFT_GRACE)
+
+    def look(self, now: float) -> None:
+        """Ask the kernel how far its client has ended the connection, and act on that."""
+        state = peer_state(self.transport.getHandle())
+        if state is PeerState.OPEN:
+            self.seen_open_at = now
+        elif state is PeerState.HALF_CLOSED:
+            self.half_close_seen(now)
+        elif not self.is_reset:
+            self.left = self.is_reset = True
+            count("client_connection_reset_unread")
+            self.transport.abortConnection()
+
+    def look_behind(self) -> None:
+        """Look at one that is not read, and so does not hear of its client's end."""
+        if not (self.left or self.refused or self.transport.getHandle() is None):
+            self.look(self.gateway.now())
+
+    def half_close_seen(self, now: float) -> None:
+        """Its client has sent its FIN: what is on its way to a backend has the grace to get there.
+
+        The grace counts from when the FIN may have come, which is long ago where this process is late.
+        """
+        if self.closed_at is not None:
+            return
+        self.closed_at = now - self.closed_for(now)
+        wait = max(0.0, self.closed_at + LEFT_GRACE - now)
+        # By way of one more turn: answers that came while this process was late are seen first.
+        later = self.gateway.reactor.callLater
+        later(wait, later, 0, self.client_left)
+
+    def closed_for(self, now: float) -> float:
+        """Seconds since its client's FIN may have come, at the most.
+
+        Where the kernel does not tell, it came after the last look at a connection that is not read, and in
+        this turn of the loop, or in the time by which the turn is late, on one that is read.
+        """
+        if (age := since_fin(self.transport.getHandle())) is not None:
+            return age + KERNEL_TICK
+        return now - self.seen_open_at if self.paused else self.gateway.timers.late
 
     def client_left(self) -> None:
         """Nothing new is begun any more for what is open here, nor for what is still to be read."""
+        if self.left:
+            return
         self.left = True
         for rpc in [w for w in self.waiting if w.reply is None]:
             self.gateway.left(rpc)
 
-    def look_behind(self) -> None:
-        """See whether its client has ended its sending, or all: who is not read does not hear of that."""
-        if self.left or self.refused or (handle := self.transport.getHandle()) is None:
-            return
-        poll = select.poll()
-        poll.register(handle, select.POLLRDHUP)
-        for _, what in poll.poll(0):
-            if what & (select.POLLERR | select.POLLHUP):
-                count("client_connection_gone_while_unread")
-                self.transport.abortConnection()
-            elif what & select.POLLRDHUP:
-                count("client_connection_left_while_unread")
-                self.client_left()
-
     def writeConnectionLost(self) -> None:
         """This side's own half-close; the other half ends the client connection."""
 
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -67,6 +67,7 @@
             self.finished,
             self.descriptors.for_backend_connection,
             self.passing,
+            self.may_write,
             self.budget,
         )
         self.descriptors.pool = self.pool
@@ -392,6 +393,22 @@
         rpc.left = True
         self.feed(t.ClientGone(rpc.request.id))
 
+    def let_go(self, rpc: RPC) -> None:
+        """An attempt can't begin any more, for its client has left: the RPC ends with it."""
+        count("attempt_not_begun")
+        if rpc.client_connection.is_reset:
+            self.gone(rpc)
+        else:
+            self.left(rpc)
+
+    def may_write(self, attempt: Attempt) -> bool:
+        """Whether an attempt whose connection has come up may begin; one that may not is given up."""
+        rpc = attempt.rpc
+        if rpc is None or rpc.client_connection.may_begin(self.now()):
+            return True
+        self.let_go(rpc)
+        return False
+
     def finished(self, attempt: Attempt, reply: Reply) -> None:
         """An attempt ended; a value is passed on before the module hears of it."""
         if self.recovery is not None:
@@ -481,6 +498,9 @@
         if rpc is None or not holds(rpc.attempt is None, "two_attempts_at_once"):
             number = rpc.attempts if rpc else 0
             return self.feed(t.Outcome(a.id, number, a.server, t.Status.MOOT, 0.0, rpc is None))
+        if not rpc.client_connection.may_begin(now):
+            self.let_go(rpc)
+            return self.feed(t.Outcome(a.id, rpc.attempts, a.server, t.Status.MOOT, 0.0, True))
         until = min(rpc.deadline, now + a.timeout) if a.timeout > 0 else rpc.deadline
         attempt = Attempt(rpc, rpc.attempts, a.server, now, until, rpc.parts(until - now))
         self.out[a.id, attempt.number] = rpc.attempt = attempt
--- a/corkdeal/net/timers.py
+++ b/corkdeal/net/timers.py
@@ -13,9 +13,14 @@
 
 from .backend_connection import Attempt
 
+LATE_LEAST = 0.01  # s by which a turn has to be late to be told of; less would cost one more turn each time
+
 
 class Timers:
-    """Tokens and attempts by when they are due, in s of the gateway's clock; `due` hears of both."""
+    """Tokens and attempts by when they are due, in s of the gateway's clock; `due` hears of both.
+
+    `late` tells for the rest of a turn of the reactor by how many s its timers, and so the turn, came late.
+    """
 
     def __init__(
         self, reactor: Any, now: Callable[[], float], due: Callable[[list[int], list[Attempt]], None]
@@ -25,6 +30,7 @@
         self.number = 0
         self.wake: Any = None
         self.wake_at = math.inf
+        self.late = 0.0
 
     def at(self, due: float, what: int | Attempt) -> None:
         """Have a token announced, or an attempt ended, at a time; `arm` has to follow."""
@@ -44,7 +50,11 @@
 
     def ring(self) -> None:
         """Tell all that is due, at once."""
-        self.wake, self.wake_at, now = None, math.inf, self.now()
+        now = self.now()
+        if (late := now - self.wake_at) > LATE_LEAST:
+            self.late = late
+            self.reactor.callLater(0, self.turn_over)
+        self.wake, self.wake_at = None, math.inf
         tokens: list[int] = []
         late: list[Attempt] = []
         while self.heap and self.heap[0][0] <= now:
@@ -52,3 +62,7 @@
             (late if type(what) is Attempt else tokens).append(what)
         self.due(tokens, late)
         self.arm()
+
+    def turn_over(self) -> None:
+        """The next turn has begun, after the sockets that were ready in the last one."""
+        self.late = 0.0
--- a/tests/net_fakes.py
+++ b/tests/net_fakes.py
@@ -14,6 +14,7 @@
     transport.setTcpNoDelay = lambda on: None
     transport.connected, transport.producerPaused, transport.dataBuffer = True, False, b""
     transport._tempDataBuffer, transport.getHandle = [], lambda: transport
+    transport.fileno = lambda: -1
     transport.recv = unittest.mock.Mock(side_effect=BlockingIOError)
     transport.sendmsg = lambda parts: transport.write(b"".join(parts)) or sum(map(len, parts))
     transport.loseWriteConnection = lambda: None
--- a/tests/net_world.py
+++ b/tests/net_world.py
@@ -339,9 +339,9 @@
 class Moments(Program):
     """What these tests have in common."""
 
-    def patient(self, **more):
-        """Start with long aims."""
-        self.start(config={"settings": slow_settings()}, **more)
+    def patient(self, sockets=256, **more):
+        """Start with long aims, and so many descriptors."""
+        self.start(config={"settings": slow_settings(), "limits": {"sockets": sockets}}, **more)
 
     def seen(self, text):
         """Wait for a line of the log that may have come already."""
@@ -372,11 +372,11 @@
         listener = socket.create_server(("127.0.0.1", 0), backlog=0)
         self.addCleanup(listener.close)
         backend.entry["host_port"] = f"127.0.0.1:{listener.getsockname()[1]}"
-        filling = []
+        self.filling = []
         for _ in range(8):
             sock = socket.socket()
             sock.setblocking(False)
             self.addCleanup(sock.close)
             sock.connect_ex(listener.getsockname())
-            filling.append(sock)
+            self.filling.append(sock)
         return listener
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -109,6 +109,9 @@
     def getHandle(self):
         return self
 
+    def fileno(self):
+        return -1
+
     def sendmsg(self, parts):
         data = b"".join(parts)[: self.room]
         if not data:
--- a/tests/test_net_departures.py
+++ b/tests/test_net_departures.py
@@ -1,14 +1,28 @@
-"""What a client asked that has left is not sent on: departures at every moment, on real connections."""
+"""What a client asked that has left is not sent on: departures at every moment, on real connections.
 
+A gateway that is stopped (SIGSTOP) while it waits finds all that came meanwhile in one turn: overdue timers
+first, then the connections in the order in which they had something. So what begins an attempt is seen before
+the end of its client, which by then is longer ago than any attempt may begin.
+"""
+
+import copy
+import json
 import signal
 import socket
+import time
 import unittest
 
+from twisted.internet.testing import MemoryReactorClock
+
+from corkdeal import interface as t
+from corkdeal.net import client_connection, config, gateway, invariants, tcp_state, timers
 from corkdeal.net.resp import command
 
-from .net_world import PATIENCE, Moments, served
+from .net_world import PATIENCE, SETTINGS, Moments, served
+from .test_bodies import Wire
 
 BUSY, GONE = b"BUSY", b"ERR failed"
+STOPPED = 0.3  # s for which the process is stopped after a client's end; no attempt may begin after 0.1
 
 
 class Departures(Moments):
@@ -155,9 +169,300 @@
         self.assertEqual(self.process.wait(PATIENCE), 0)
 
 
+class StoppedProcess(Moments):
+    """A client ends while the process is stopped, and what begins an attempt comes first at its return."""
+
+    def leave(self, client, reset):
+        """End a client's sending, or reset its connection."""
+        if reset:
+            client.reset()
+        else:
+            client.sock.shutdown(socket.SHUT_WR)
+
+    def nothing_sent(self):
+        """Once a request of a client that stays has got to a backend, nothing else has."""
+        marker = self.client()
+        self.ask(marker, d=80000, rid=9999, customer=9)
+        self.assertEqual(self.world.next().words[2], b"%016x" % 9999)
+        self.assertTrue(self.world.asked.empty())
+
+    def warm(self):
+        """Have a connection to each of the two backends: an attempt is written there at once."""
+        clients = [self.client() for _ in "ab"]
+        for rid, client in enumerate(clients):
+            self.ask(client, d=80000, rid=1000 + rid)
+        asked = [self.world.next() for _ in clients]
+        self.assertEqual({each.backend.name for each in asked}, {"a", "b"})
+        for each in asked:
+            each.conn.send(served())
+        for client in clients:
+            self.assertEqual(client.read(), [b"v"])
+
+    def between_attempts(self, reset):
+        self.patient(a={}, b={})
+        self.warm()
+        client = self.client()
+        self.ask(client, d=80000)
+        asked = self.world.next()
+        self.freeze()
+        asked.conn.end()
+        self.leave(client, reset)
+        self.thaw(after=STOPPED, since=time.monotonic())
+        if not reset:
+            self.assertEqual(client.read(), [BUSY])
+            self.assertIsNone(client.read())
+        self.nothing_sent()
+
+    def test_an_attempt_breaks_before_a_fin(self):
+        self.between_attempts(reset=False)
+
+    def test_an_attempt_breaks_before_a_reset(self):
+        self.between_attempts(reset=True)
+
+    def at_a_timer(self, reset):
+        settings = copy.deepcopy(SETTINGS)
+        settings["classes"][0].update(aim_us=4_000_000, deadline_us=20_000_000)
+        self.start(config={"settings": settings}, a={}, b={})
+        self.warm()
+        client = self.client()
+        self.ask(client, d=20000)
+        asked = self.world.next()
+        self.freeze()
+        stopped = time.monotonic()
+        self.leave(client, reset)
+        self.thaw(after=2.6, since=stopped)  # late enough to give it up, early enough for a further one
+        self.assertTrue(asked.ended.wait(PATIENCE))
+        if not reset:
+            self.assertIn(client.read(), ([BUSY], [GONE]))
+        self.nothing_sent()
+
+    def test_the_timer_of_a_further_attempt_is_due_before_a_fin_is_read(self):
+        self.at_a_timer(reset=False)
+
+    def test_the_timer_of_a_further_attempt_is_due_before_a_reset_is_read(self):
+        self.at_a_timer(reset=True)
+
+    def while_connecting(self, reset):
+        listener = self.crowded()
+        self.patient()
+        client = self.client()
+        self.ask(client, b"pay", d=80000, body=b"x")
+        client.send(command(b"PING"))
+        self.freeze()
+        listener.settimeout(PATIENCE)
+        fillers = {each.getsockname() for each in self.filling}
+        while (accepted := listener.accept())[1] in fillers:
+            self.addCleanup(accepted[0].close)
+        self.addCleanup(accepted[0].close)
+        self.leave(client, reset)
+        self.thaw(after=STOPPED, since=time.monotonic())
+        if not reset:
+            self.assertEqual(client.read(), [BUSY])
+        accepted[0].settimeout(PATIENCE)
+        self.assertFalse(self.received(accepted[0]))
+
+    @staticmethod
+    def received(sock):
+        """What comes until the other side's end."""
+        try:
+            return sock.recv(65536)
+        except ConnectionError:
+            return b""
+
+    def test_a_connection_to_a_backend_comes_up_before_a_fin(self):
+        self.while_connecting(reset=False)
+
+    def test_a_connection_to_a_backend_comes_up_before_a_reset(self):
+        self.while_connecting(reset=True)
+
+    def test_a_request_is_read_with_a_fin_behind_it(self):
+        self.patient(a={})
+        client = self.client()
+        client.send(command(b"PING"))
+        self.assertEqual(client.read(), [b"PONG"])
+        self.freeze()
+        self.ask(client, b"pay", d=80000, body=b"x")
+        self.leave(client, reset=False)
+        self.thaw(after=STOPPED, since=time.monotonic())
+        self.assertEqual(client.read(), [BUSY])
+        self.nothing_sent()
+
+    def test_requests_are_read_with_others_and_a_fin_unread_behind_them(self):
+        self.patient(a={})
+        client, many = self.client(), 900  # more than are read in one go, or at all before some are answered
+        client.send(command(b"PING"))
+        self.assertEqual(client.read(), [b"PONG"])
+        self.freeze()
+        client.send(b"".join(command(*self.words(b"look", d=80000, rid=rid)) for rid in range(many)))
+        self.leave(client, reset=False)
+        self.thaw(after=STOPPED, since=time.monotonic())
+        for _ in range(many):
+            self.assertEqual(client.read(), [BUSY])
+        self.nothing_sent()
+
+    def test_two_hundred_leave_a_process_short_of_processor_time(self):
+        self.patient(sockets=1024, a={}, b={}, c={}, d={})
+        clients = [self.client() for _ in range(200)]
+        for client in clients:
+            client.send(command(b"PING"))
+            self.assertEqual(client.read(), [b"PONG"])
+        self.freeze()
+        for rid, client in enumerate(clients):
+            self.ask(client, d=80000, rid=rid, customer=rid + 10)
+            self.leave(client, reset=rid % 2 == 1)
+        time.sleep(STOPPED)
+        for _ in range(40):  # it runs for some milliseconds at a time, and stands still for longer
+            self.process.send_signal(signal.SIGCONT)
+            time.sleep(0.004)
+            self.process.send_signal(signal.SIGSTOP)
+            time.sleep(0.02)
+        self.process.send_signal(signal.SIGCONT)
+        for client in clients[::2]:
+            self.assertTrue(client.read()[0].startswith(BUSY))
+        self.nothing_sent()
+
+
+class OnAFakeClock(unittest.TestCase):
+    """Where the kernel dates no FIN, as on the local sockets here, it counts from when it may have come."""
+
+    def setUp(self):
+        self.reactor = MemoryReactorClock()
+        raw = json.dumps({"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": SETTINGS}).encode()
+        self.gateway = gateway.Gateway(self.reactor, config.read(raw, {}))
+        self.gateway.now = self.gateway.pool.now = self.gateway.descriptors.now = self.reactor.seconds
+        self.gateway.timers.now = self.reactor.seconds
+        self.ours, self.theirs = socket.socketpair()
+        self.addCleanup(self.ours.close)
+        self.addCleanup(self.theirs.close)
+        self.connection = client_connection.ClientConnection(self.gateway)
+        self.wire = Wire()
+        self.wire.fileno, self.wire.getsockopt = self.ours.fileno, self.ours.getsockopt
+        self.connection.makeConnection(self.wire)
+        invariants.counts.clear()
+
+    def listed(self):
+        """A backend is there."""
+        self.gateway.pool.told("a", True, ("127.0.0.1", 3))
+        self.gateway.feed(t.ServerList(t.ListKind.FULL, (t.ServerEntry("a", t.ServerState.READY),)))
+
+    def ask(self, rid=1):
+        params = b"c=look,t=large,d=3000,units=1,spread=1,first=0"
+        self.connection.dataReceived(command(b"API.READ", b"%016x" % 7, b"%016x" % rid, params))
+
+    def come_up(self):
+        """The last connection to a backend does; what is written on it."""
+        wire = Wire()
+        self.reactor.tcpClients[-1][2].buildProtocol(None).makeConnection(wire)
+        return bytes(wire.taken)
+
+    def test_a_request_that_comes_with_the_end_of_sending_still_gets_its_attempt(self):
+        self.listed()
+        self.theirs.shutdown(socket.SHUT_WR)
+        self.ask()
+        self.connection.readConnectionLost()
+        self.reactor.advance(client_connection.LEFT_GRACE / 2)
+        self.assertIn(b"API.READ", self.come_up())
+        self.reactor.advance(client_connection.LEFT_GRACE)
+        self.assertFalse(self.wire.taken)  # its backend has it, and answers
+
+    def test_a_connection_to_a_backend_that_comes_up_after_the_grace_gets_nothing(self):
+        self.listed()
+        self.ask()
+        self.theirs.shutdown(socket.SHUT_WR)
+        self.connection.look_behind()
+        self.reactor.rightNow += client_connection.LEFT_GRACE  # and no timer has run yet
+        self.assertEqual(self.come_up(), b"")
+        self.assertEqual(bytes(self.wire.taken), b"-BUSY\r\n")
+
+    def test_a_reset_ends_an_attempt_that_still_connects_at_once(self):
+        self.listed()
+        self.ask()
+        self.theirs.close()  # both ways: to the kernel that is the end of this connection
+        self.assertEqual(self.come_up(), b"")
+        self.assertTrue(self.wire.aborted)
+        self.assertFalse(self.gateway.rpcs)
+
+    def test_a_late_turn_counts_an_end_as_having_come_before_it(self):
+        self.ask()  # held: there is no backend
+        self.listed()
+        self.theirs.shutdown(socket.SHUT_WR)
+        self.reactor.advance(STOPPED)  # the held one's timer is late
+        self.assertFalse(self.reactor.tcpClients)
+        self.assertEqual(bytes(self.wire.taken), b"-BUSY\r\n")
+
+    def test_a_turn_in_time_counts_it_from_when_it_is_seen(self):
+        self.ask()
+        self.reactor.advance(STOPPED)  # a late turn before this one changes nothing
+        self.listed()
+        self.theirs.shutdown(socket.SHUT_WR)
+        self.reactor.pump([timers.LATE_LEAST / 2] * 100)
+        self.assertEqual(len(self.reactor.tcpClients), 1)
+
+    def test_on_a_connection_that_is_not_read_it_counts_from_the_last_look(self):
+        for rid in range(client_connection.MOST_WAITING):
+            self.ask(rid)
+        self.assertTrue(self.connection.paused)
+        self.listed()
+        self.theirs.shutdown(socket.SHUT_WR)
+        self.reactor.pump([timers.LATE_LEAST / 2] * 100)
+        self.assertFalse(self.reactor.tcpClients)
+        self.assertEqual(self.wire.taken.count(b"-BUSY"), client_connection.MOST_WAITING)
+
+
+class PeerStates(unittest.TestCase):
+    """What the kernel tells of the other side of a TCP connection."""
+
+    def setUp(self):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            self.theirs = socket.create_connection(listener.getsockname())
+            self.ours = listener.accept()[0]
+        self.addCleanup(self.ours.close)
+        self.addCleanup(self.theirs.close)
+
+    def wait_for(self, state):
+        until = time.monotonic() + PATIENCE
+        while tcp_state.peer_state(self.ours) is not state:
+            self.assertLess(time.monotonic(), until)
+
+    def test_a_fin_behind_unread_bytes_and_then_a_reset(self):
+        self.theirs.sendall(b"unread")
+        self.assertIs(tcp_state.peer_state(self.ours), tcp_state.PeerState.OPEN)
+        self.assertIsNone(tcp_state.since_fin(self.ours))
+        self.theirs.shutdown(socket.SHUT_WR)
+        self.wait_for(tcp_state.PeerState.HALF_CLOSED)
+        self.theirs.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        self.theirs.close()
+        self.wait_for(tcp_state.PeerState.CLOSED)
+
+    def test_a_fin_is_dated_by_its_own_arrival(self):
+        self.theirs.sendall(b"long before")
+        time.sleep(2 * STOPPED)
+        ended = time.monotonic()
+        self.theirs.shutdown(socket.SHUT_WR)
+        self.wait_for(tcp_state.PeerState.HALF_CLOSED)
+        time.sleep(STOPPED)
+        age = tcp_state.since_fin(self.ours)
+        self.assertLessEqual(age, time.monotonic() - ended + client_connection.KERNEL_TICK)
+        self.assertGreaterEqual(age, STOPPED - client_connection.KERNEL_TICK)
+        self.assertGreaterEqual(tcp_state.since_last_data(self.ours) - age, STOPPED)
+
+    def test_a_socket_whose_kernel_dates_nothing(self):
+        ours, theirs = socket.socketpair()
+        self.addCleanup(ours.close)
+        theirs.close()
+        self.assertIsNone(tcp_state.since_fin(ours))
+        self.assertIsNone(tcp_state.since_last_data(ours))
+        ours.close()
+        self.assertIs(tcp_state.peer_state(ours), tcp_state.PeerState.OPEN)
+
+
 class ReleaseDepartures(Departures):
     build = ("-O",)
 
 
+class ReleaseStoppedProcess(StoppedProcess):
+    build = ("-O",)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -421,7 +421,15 @@
         hear = lambda attempt, reply: self.ended.append(reply.status)  # noqa: E731
         yes = lambda *_: True  # noqa: E731
         pool = backend_connection.Pool(
-            self.reactor, self.gateway.settings, 1, self.reactor.seconds, hear, yes, yes, self.gateway.budget
+            self.reactor,
+            self.gateway.settings,
+            1,
+            self.reactor.seconds,
+            hear,
+            yes,
+            yes,
+            yes,
+            self.gateway.budget,
         )
         pool.told("a", True, ("127.0.0.1", 1))
         pool.send(attempt := backend_connection.Attempt(None, 0, "a", 0.0, 9.0, [b"x"]))
