Measure departures against 0.1 s, at any number of gateways, and what half-closing clients get

The rule's limit is 0.1 s after the close. Clients use plain sockets, so that a close is dated as it is made; those that only end their sending are counted by their answers; the file of results holds rows named by revision.

--- a/benchmarks/departures.py
+++ b/benchmarks/departures.py
@@ -1,12 +1,18 @@
 """How many requests are sent on after their clients have left: over real gateways, against another revision.
 
-PYTHONPATH=. python -O benchmarks/departures.py [--departures 1000] [--against CHECKOUT] [--out FILE]
+PYTHONPATH=. python -O benchmarks/departures.py [--gateways 3] [--departures 1000] [--revision NAME]
+    [--out FILE] [--against CHECKOUT --against-revision NAME]
 
-Three gateways as `run` starts them, six stand-in servers. Clients ask on connections of their own and leave
-after a while, by closing (FIN) or by a reset, some in bursts. Meanwhile requests have cause to wait: for part
-of the time discovery lists no server, so they are held, and two servers at a time take requests and do not
+Gateways as `run` starts them, six stand-in servers. Clients ask on connections of their own and leave after
+a while, by closing (FIN) or by a reset, some in bursts. Meanwhile requests have cause to wait: for part of
+the time discovery lists no server, so they are held, and two servers at a time take requests and do not
 answer, so they are sent again. Late are those of which an attempt reaches a server more than LATE s after
-their client left. Clients that stay are counted by the kind of their answers ($ is served).
+their client left; what this process adds to that is counted against the gateways, and `own_delay_s` tells
+how late its own loop ran at most. Clients that stay, or that only end their sending (a half-close) at once
+or after a while, are counted by the kind of their answers ($ is served, and "" an end without one).
+
+`--out` adds its rows to a file of rows. Run one at a time, and 40 gateways only where the machine has little
+else to do: they are 40 processes.
 """
 
 from __future__ import annotations
@@ -27,9 +33,12 @@
 from corkdeal.standin.fleet import tier
 from corkdeal.standin.servers import Arrival, Model, Server, work_drawer
 
-LATE = 0.3  # s after its client left, from which on a request must not be sent on
+LATE = 0.1  # s after its client left, from which on no attempt may begin
 GATEWAYS, SERVERS = 3, 6
+START_AT_ONCE = 4  # gateways that are started side by side
 EVERY, STAY = 0.02, 0.5  # s between clients; s that one stays at the most
+ANSWERED_WITHIN = 10.0  # s that clients which wait for an answer do so at the most
+TICK = 0.005  # s between looks at how late this process is itself
 EMPTY_EVERY, EMPTY_FOR, HANG_FOR = 1.5, 0.6, 0.7  # s
 PLANS = [{"name": "open", "quota_rate": 100_000, "store_size": 100_000}]
 
@@ -43,36 +52,85 @@
     return b"*%d\r\n%b" % (len(words), b"".join(b"$%d\r\n%b\r\n" % (len(w), w) for w in words))
 
 
+class Asking:
+    """A client's connection with one request, on a plain socket that ends just when it is told to."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+
+    @classmethod
+    async def open(cls, gateway: Any, rid: int) -> Asking:
+        """Connect, and ask."""
+        loop, (host, port) = asyncio.get_running_loop(), gateway.listen.split(":")
+        sock = socket.socket()
+        sock.setblocking(False)
+        await loop.sock_connect(sock, (host, int(port)))
+        await loop.sock_sendall(sock, ask(rid, rid % 2 == 1, gateway.number))
+        return cls(sock)
+
+    async def kind(self) -> str:
+        """The kind of its answer, by the first line without figures."""
+        try:
+            data = await asyncio.get_running_loop().sock_recv(self.sock, 4096)
+        except ConnectionError:
+            data = b""
+        return data.partition(b"\r\n")[0][:5].decode().strip("0123456789 ")
+
+    def leave(self, reset: bool) -> float:
+        """Close, or reset; when, in wall time."""
+        if reset:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        at = time.time()
+        self.sock.close()
+        return at
+
+    def end_sending(self) -> float:
+        """Half-close; when, in wall time."""
+        at = time.time()
+        self.sock.shutdown(socket.SHUT_WR)
+        return at
+
+
 class Play:
     """One play of one revision."""
 
-    def __init__(self, seed: int, departures: int, program: pathlib.Path | None) -> None:
+    def __init__(self, seed: int, departures: int, gateways: int, program: pathlib.Path | None) -> None:
         self.chance, self.departures, self.program = random.Random(seed), departures, program
+        self.gateways = gateways
         self.left: dict[int, float] = {}  # when each client left, wall time
+        self.half_closed: dict[int, float] = {}  # when each client that reads on ended its sending
         self.arrived: dict[int, list[float]] = {}
-        self.stayed: Counter[str] = Counter()
+        self.answers: dict[str, Counter[str]] = {
+            who: Counter() for who in ("stayed", "half_closed_at_once", "half_closed_later")
+        }
+        self.own_delay = 0.0
         self.empty = False
 
     def seen(self, arrival: Arrival) -> None:
         """A server has an attempt whole."""
         self.arrived.setdefault(arrival.request, []).append(arrival.at)
 
-    async def client(self, gateway: Any, rid: int, stay: float | None, reset: bool) -> None:
-        """Ask, and leave after `stay` s; one that stays reads its answer."""
-        host, port = gateway.listen.split(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        writer.write(ask(rid, rid % 2 == 1, gateway.number))
-        if stay is None:
-            self.stayed[(await reader.readline())[:5].decode().strip("0123456789\r\n ")] += 1
-        else:
-            await asyncio.sleep(stay)
-            if reset:
-                handle = writer.get_extra_info("socket")
-                handle.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            self.left[rid] = time.time()
-            writer.transport.abort()  # closes at once; only with linger 0 that is a reset
-            return
-        writer.close()
+    async def watch_itself(self) -> None:
+        """Tell how late this process is."""
+        while True:
+            due = time.monotonic() + TICK
+            await asyncio.sleep(TICK)
+            self.own_delay = max(self.own_delay, time.monotonic() - due)
+
+    async def leaver(self, gateway: Any, rid: int, stay: float, reset: bool) -> None:
+        """Ask, and leave after `stay` s."""
+        asking = await Asking.open(gateway, rid)
+        await asyncio.sleep(stay)
+        self.left[rid] = asking.leave(reset)
+
+    async def reader(self, gateway: Any, rid: int, who: str, half_close_after: float | None) -> None:
+        """Ask, end the sending after so many s or never, and read the answer."""
+        asking = await Asking.open(gateway, rid)
+        if half_close_after is not None:
+            await asyncio.sleep(half_close_after)
+            self.half_closed[rid] = asking.end_sending()
+        self.answers[who][await asking.kind()] += 1
+        asking.sock.close()
 
     async def trouble(self, discovery: Discovery, servers: list[Server]) -> None:
         """Give requests cause to wait."""
@@ -102,12 +160,16 @@
         discovery = Discovery(lambda: [] if self.empty else [s.entry() for s in servers])
         await discovery.start()
         with tempfile.TemporaryDirectory() as folder:
-            gateways = tier(GATEWAYS, discovery.port, pathlib.Path(folder), PLANS, "recovery\n", self.program)
+            gateways = tier(
+                self.gateways, discovery.port, pathlib.Path(folder), PLANS, "recovery\n", self.program
+            )
             for number, each in enumerate(gateways):
                 each.config["settings"]["me"] = number
             tasks: list[asyncio.Task[None]] = []
             try:
-                await asyncio.gather(*(g.start() for g in gateways))
+                for first in range(0, len(gateways), START_AT_ONCE):
+                    await asyncio.gather(*(g.start() for g in gateways[first : first + START_AT_ONCE]))
+                tasks.append(asyncio.create_task(self.watch_itself()))
                 tasks.append(asyncio.create_task(self.trouble(discovery, servers)))
                 await self.clients(gateways)
             finally:
@@ -120,58 +182,67 @@
         return self.figures()
 
     async def clients(self, gateways: list[Any]) -> None:
-        """All who leave, and one in five who stays."""
+        """All who leave, and beside every five of them one who stays and two who half-close."""
         asked, rid = [], 0
         while rid < self.departures:
             many = 25 if self.chance.random() < 0.013 else 1
             for _ in range(min(many, self.departures - rid)):
                 rid += 1
-                asked.append(
-                    asyncio.create_task(
-                        self.client(
-                            self.chance.choice(gateways), rid, self.chance.uniform(0.0, STAY), rid % 3 == 0
-                        )
-                    )
-                )
+                stay = self.chance.uniform(0.0, STAY)
+                asked.append(self.leaver(self.chance.choice(gateways), rid, stay, rid % 3 == 0))
             if rid % 5 == 0:
-                asked.append(
-                    asyncio.create_task(
-                        self.client(self.chance.choice(gateways), rid + (1 << 32), None, False)
-                    )
-                )
+                waits = {
+                    "stayed": None,
+                    "half_closed_at_once": 0.0,
+                    "half_closed_later": self.chance.uniform(0.0, STAY),
+                }
+                for number, (who, wait) in enumerate(waits.items(), 1):
+                    asked.append(self.reader(self.chance.choice(gateways), rid + (number << 30), who, wait))
+            asked = [each if isinstance(each, asyncio.Task) else asyncio.create_task(each) for each in asked]
             await asyncio.sleep(EVERY)
-        await asyncio.wait(asked, timeout=10)
+        await asyncio.wait(asked, timeout=ANSWERED_WITHIN)
         await asyncio.sleep(1.0)  # what would be sent on late still has time to be
 
     def figures(self) -> dict[str, Any]:
         """What became of them."""
         waits = [max(ats) - self.left[rid] for rid, ats in self.arrived.items() if rid in self.left]
         late = [w for w in waits if w > LATE]
+        half = [max(ats) - at for rid, at in self.half_closed.items() if (ats := self.arrived.get(rid))]
         return {
+            "gateways": self.gateways,
             "departures": len(self.left),
             "reached_a_server": len(waits),
+            "late_after_s": LATE,
             "late": len(late),
             "late_share": round(len(late) / max(1, len(self.left)), 4),
             "latest_s": round(max(waits, default=0.0), 3),
-            "answers_to_who_stayed": dict(self.stayed),
+            "half_closes": len(self.half_closed),
+            "late_after_half_close": sum(w > LATE for w in half),
+            "own_delay_s": round(self.own_delay, 3),
+            "answers": {who: dict(kinds) for who, kinds in self.answers.items()},
         }
 
 
 def main() -> None:
-    """Play both revisions, one after the other."""
+    """Play one revision, or both one after the other."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--departures", type=int, default=1000)
+    parser.add_argument("--gateways", type=int, default=GATEWAYS)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--revision", default="this")
     parser.add_argument("--against", type=pathlib.Path)
+    parser.add_argument("--against-revision", default="before")
     parser.add_argument("--out", type=pathlib.Path)
     given = parser.parse_args()
-    result = {"seed": given.seed, "now": asyncio.run(Play(given.seed, given.departures, None).run())}
-    if given.against:
-        result["against"] = asyncio.run(Play(given.seed, given.departures, given.against).run())
-    text = json.dumps(result, indent=1)
-    print(text)
+    plays = [(given.revision, None)] + ([(given.against_revision, given.against)] if given.against else [])
+    rows = []
+    for revision, program in plays:
+        play = Play(given.seed, given.departures, given.gateways, program)
+        rows.append({"revision": revision, "seed": given.seed, **asyncio.run(play.run())})
+        print(json.dumps(rows[-1], indent=1), flush=True)
     if given.out:
-        given.out.write_text(text + "\n")
+        before = json.loads(given.out.read_text()) if given.out.exists() else []
+        given.out.write_text(json.dumps(before + rows, indent=1) + "\n")
 
 
 if __name__ == "__main__":
