List the event list_not_taken, which the log refused to write

Cause: the watch writes it since, but the table of events did not have it, so logs.event raised KeyError in its place; the watch went on, without the line. Change: the event is in the table, and the test of a fault in who is told looks for its lines.

--- a/corkdeal/logs/events.py
+++ b/corkdeal/logs/events.py
@@ -39,6 +39,7 @@
     "action_failed": (ERROR, "an action could not be carried out: action, trace"),
     "module_says": (INFO, "a line of the decisions' own: text"),
     "discovery_failed": (WARN, "discovery gave no list that can be used; the one held goes on: error"),
+    "list_not_taken": (ERROR, "a list could not be followed, and is asked for again: revision, trace"),
     "library": (WARN, "a line of a library's own: source, text"),
     "options_reloaded": (INFO, "the operators' file was read again: nodes that changed"),
     "knowledge_loaded": (INFO, "an earlier life's knowledge is in force: file, age, servers, accounts"),
--- a/tests/test_discovery_outages.py
+++ b/tests/test_discovery_outages.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from corkdeal import logs
+from corkdeal.logs.events import EVENTS
 from corkdeal.net import discovery_watch
 from corkdeal.net.discovery_retry import RetryPauses
 
@@ -160,7 +162,9 @@
     assert sum(not connection.ended for connection in world.discovery.connections) <= 1
 
 
-def test_a_fault_in_who_is_told_does_not_end_the_watch():
+def test_a_fault_in_who_is_told_does_not_end_the_watch(monkeypatch):
+    written = []
+    monkeypatch.setattr(logs, "event", lambda name, **pairs: written.append((EVENTS[name], pairs)))
     world = World(True, 3, fault=None, begins=None, ends=0.0, drains_at=1.0)
     hear, faults = world.watch.told, [ValueError("a fault in the gateway")] * 3
 
@@ -172,6 +176,7 @@
     world.watch.told = told
     world.run_until(10.0, told=True)
     assert world.told_at is not None and not faults
+    assert sum("a fault in the gateway" in pairs.get("trace", "") for _, pairs in written) == 3
     assert len(world.discovery.calls) < 10
 
 
