Let the fake connection say that the kernel tells nothing of it

Cause: two changes met: the queues' tests half-close a fake connection, and a half-close is now dated by the kernel, which a fake socket has not. The fake raises OSError as a socket without tcp_info does; before, three tests of the queues failed with AttributeError.

--- a/corkdeal/net/discovery_retry.py
+++ b/corkdeal/net/discovery_retry.py
@@ -16,9 +16,8 @@
 TOLD_AFTER = 6.0  # s after discovery has a change and can be reached, at which it counts as told
 ANSWER_ALLOWANCE = 1.0  # s of these that are left to the call which brings the change
 LEAST, MOST = 0.1, 1.0  # s, bounds of a pause where calls cost discovery nothing
-GRACE_PART = (
-    0.8  # of the grace of a drain, at most, there: what there is when discovery is back counts at once
-)
+# of the grace of a drain, at most, there: what there is when discovery is back counts at once
+GRACE_PART = 0.8
 SHARE = 0.1  # s for each gateway of the tier, over which calls that cost discovery work are spread
 LONGEST = 4  # times that, at most: by then a service four times slower has time for everybody
 STEADY = 0.5  # of the longest pause, at least, from the second failure on; the first has spread the tier
--- a/tests/net_fakes.py
+++ b/tests/net_fakes.py
@@ -15,6 +15,7 @@
     transport.connected, transport.producerPaused, transport.dataBuffer = True, False, b""
     transport._tempDataBuffer, transport.getHandle = [], lambda: transport
     transport.fileno = lambda: -1
+    transport.getsockopt = unittest.mock.Mock(side_effect=OSError)  # the kernel tells nothing of it
     transport.recv = unittest.mock.Mock(side_effect=BlockingIOError)
     transport.sendmsg = lambda parts: transport.write(b"".join(parts)) or sum(map(len, parts))
     transport.loseWriteConnection = lambda: None
