Accept a few connections a turn, shed new ones while the loop is late, and show its lateness

Need: Twisted accepts up to a hundred connections in a row and more while they keep coming; timers, datagrams and departures wait for all of them. Nothing told operators how late the loop runs.

One late look alone sheds nothing: it may be a pause of the process, after which what waits is served.

Tests: tests/test_loop_lateness.py (the modules are new).

--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -32,6 +32,7 @@
 KERNEL_TICK = 0.01  # s, the longest there is
 LINGER = 0.5  # s that a refused client connection stays open, unread, so that its client can read why
 OK = b"+OK\r\n"
+TOO_MANY = b"-ERR max number of clients reached\r\n"
 CLOSED, ABORTED = Failure(ConnectionDone()), Failure(ConnectionAborted())
 STANDBY = b"-ERR standby\r\n"  # PING's answer on standby: the front takes anything but PONG as a no
 
@@ -79,9 +80,12 @@
         self.gateway.client_connections.add(self)
         self.closing = self.gateway.operators.standby  # served, then closed: no more come soon
         self.idle.update(self)
-        if not self.gateway.descriptors.for_client_connection():
+        if self.gateway.lateness.is_overloaded and not self.gateway.draining:
+            count("client_connection_shed")
+            self.turn_away(TOO_MANY)
+        elif not self.gateway.descriptors.for_client_connection():
             count("client_connection_refused")
-            self.turn_away(b"-ERR max number of clients reached\r\n")
+            self.turn_away(TOO_MANY)
 
     def rawDataReceived(self, data: bytes) -> None:
         """Take bytes; malformed ones cost this connection only. Answers go out together."""
@@ -484,31 +488,3 @@
     def buildProtocol(self, addr: Any) -> ClientConnection:
         """The protocol of one connection."""
         return ClientConnection(self.gateway)
-
-
-def listen(reactor: Any, at: tuple[str, int], gateway: Any) -> Any:
-    """Open the port, on this address only."""
-    return reactor.listenTCP(at[1], ClientConnections(gateway), backlog=socket.SOMAXCONN, interface=at[0])
-
-
-def accept_queued(port: Any) -> None:
-    """Accept all connections that the kernel holds for this port: closing it would reset them.
-
-    Their clients may have written a request already, and what this machine accepted counts as taken.
-    """
-    port.numberAccepts = socket.SOMAXCONN  # Twisted accepts about as many in a row as came the last time
-    port.doRead()
-
-
-def adopt(reactor: Any, fd: int, gateway: Any) -> Any:
-    """Accept on a listening socket that was handed down, shared with the process before this one.
-
-    Twisted takes a copy of the descriptor, and the one handed down is closed: when this process stops
-    listening, only the copy closes, and connections that wait in the socket's queue are left to the others.
-    """
-    import os
-
-    os.set_blocking(fd, False)  # Twisted accepts until EAGAIN: on a blocking socket it would wait there
-    port = reactor.adoptStreamPort(fd, socket.AF_INET, ClientConnections(gateway))
-    os.close(fd)
-    return port
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -15,7 +15,7 @@
 from .. import interface as t
 from ..brain import NEVER_RAN
 from ..brain import Gateway as Decisions
-from . import client_connection, invariants
+from . import client_connection, client_port, invariants
 from .backend_connection import Attempt, Pool, Reply
 from .backends import Backends
 from .budget import Budget, budget_for
@@ -24,6 +24,7 @@
 from .discovery_snapshot import DiscoverySnapshot
 from .discovery_watch import Watch
 from .invariants import count, holds
+from .loop_lateness import LoopLateness
 from .manual_overrides import ManualOverrides
 from .operators import Operators
 from .peering import Peering
@@ -57,6 +58,7 @@
         self.decisions = Decisions(self.settings, config.seed)
         self.reader = Reader(self.settings)
         self.client_connections: set[client_connection.ClientConnection] = set()
+        self.lateness = LoopLateness()
         self.budget = Budget(budget_for(config.memory))
         self.descriptors = Descriptors(config.sockets, self.client_connections, self.now)
         self.pool = Pool(
@@ -133,7 +135,7 @@
         self.hear()
         self.watch.run()
         self.reactor.callLater(START_WAIT, self.open)
-        self.reactor.callLater(SWEEP_EVERY, self.sweep)
+        self.sweep_later()
         self.reactor.callLater(REPORT_EVERY, self.report)
 
     def hear_operators(self) -> None:
@@ -179,11 +181,12 @@
         An address that another process has is tried again until it is free: it may be on its way out.
         """
         if not self.started and not self.draining:
+            clients = client_connection.ClientConnections(self)
             try:
                 if self.config.inherited is not None:
-                    self.port = client_connection.adopt(self.reactor, self.config.inherited, self)
+                    self.port = client_port.adopt(self.reactor, self.config.inherited, clients)
                 else:
-                    self.port = client_connection.listen(self.reactor, self.config.listen, self)
+                    self.port = client_port.listen(self.reactor, self.config.listen, clients)
             except CannotListenError as error:
                 self.taken("listen_failed", self.config.listen, error)
                 self.opening = self.opening or self.reactor.callLater(SWEEP_EVERY, self.open_again)
@@ -251,7 +254,7 @@
             self.succession.end()
         if self.port:
             if self.config.inherited is None:  # of a shared socket others accept on
-                client_connection.accept_queued(self.port)
+                self.port.accept_queued()
             self.port.stopListening()
         for each in list(self.client_connections):
             each.close_when_idle()
@@ -291,9 +294,14 @@
         self.report()
         self.reactor.stop()
 
-    def sweep(self) -> None:
+    def sweep_later(self) -> None:
+        """Have the next sweep come."""
+        self.reactor.callLater(SWEEP_EVERY, self.sweep, self.now() + SWEEP_EVERY)
+
+    def sweep(self, due: float) -> None:
         """Retire idle connections now and then; see what another life was told by hand."""
-        self.reactor.callLater(SWEEP_EVERY, self.sweep)  # first: whatever fails here, the next look comes
+        self.lateness.fired(due, self.now())
+        self.sweep_later()  # first: whatever fails here, the next look comes
         self.operators.follow()
         self.pool.sweep()
         self.descriptors.sweep()
--- /dev/null
+++ b/tests/test_loop_lateness.py
@@ -0,0 +1,106 @@
+"""The lateness of the loop as a figure, what is shed by it, and how many connections one turn takes in."""
+
+import http.client
+import json
+import socket
+import time
+
+from twisted.internet.protocol import Protocol, ServerFactory
+from twisted.internet.testing import MemoryReactorClock
+
+from corkdeal.net import client_port
+from corkdeal.net.loop_lateness import KEPT, OVERLOAD, LoopLateness
+
+from .net_fakes import connect
+from .net_world import PATIENCE, free
+from .test_idle_connections import made_gateway
+from .test_net_moments import Moments
+
+
+def test_the_greatest_lateness_is_told_for_a_while():
+    lateness = LoopLateness()
+    lateness.fired(100.0, 100.3)
+    lateness.fired(100.4, 100.45)
+    assert round(lateness.most, 3) == 0.3
+    lateness.fired(100.3 + KEPT, 100.31 + KEPT)
+    assert round(lateness.most, 3) == 0.3  # of the period before
+    lateness.fired(100.4 + 2 * KEPT, 100.42 + 2 * KEPT)
+    assert round(lateness.most, 3) == 0.02
+    lateness.fired(200.0, 199.9)
+    assert lateness.most == 0.0
+
+
+def test_one_late_look_is_no_overload_and_two_in_a_row_are():
+    lateness = LoopLateness()
+    lateness.fired(1.0, 3.0)
+    assert not lateness.is_overloaded
+    lateness.fired(3.1, 3.1 + OVERLOAD)
+    assert lateness.is_overloaded
+    lateness.fired(4.0, 4.0)
+    assert not lateness.is_overloaded
+
+
+def test_new_connections_are_shed_while_the_loop_is_late_and_not_while_it_ends():
+    made, _ = made_gateway()
+    kept = connect(made)
+    made.lateness.latest = made.lateness.before = OVERLOAD
+    shed = connect(made)
+    assert shed.transport.value() == b"-ERR max number of clients reached\r\n"
+    assert made.client_connections == {kept}
+    made.draining = True  # what this machine accepted counts as taken then
+    assert connect(made) in made.client_connections
+
+
+class Accepting(ServerFactory):
+    """Counts what is accepted, and keeps it open."""
+
+    noisy = False
+
+    def __init__(self):
+        self.accepted = []
+
+    def buildProtocol(self, addr):
+        self.accepted.append(Protocol())
+        return self.accepted[-1]
+
+
+def test_a_turn_takes_some_of_the_connections_that_wait_and_an_end_takes_all():
+    reactor, factory = MemoryReactorClock(), Accepting()
+    port = client_port.listen(reactor, ("127.0.0.1", 0), factory)
+    clients = [socket.create_connection(("127.0.0.1", port.getHost().port)) for _ in range(60)]
+    try:
+        counts = []
+        for _ in range(2):
+            port.doRead()
+            counts.append(len(factory.accepted))
+        assert counts == [client_port.ACCEPTS_MOST, 2 * client_port.ACCEPTS_MOST]
+        port.accept_queued()
+        assert len(factory.accepted) == 60
+    finally:
+        for each in clients:
+            each.close()
+        for each in factory.accepted:
+            each.transport.socket.close()
+        port.socket.close()
+
+
+class Figure(Moments):
+    """On the real program."""
+
+    build = ("-O",)
+
+    def late_ms(self):
+        host, port = self.config["ops"].split(":")
+        conn = http.client.HTTPConnection(host, int(port), timeout=PATIENCE)
+        self.addCleanup(conn.close)
+        conn.request("GET", "/status/metrics")
+        return json.loads(conn.getresponse().read())["app_loop_late_ms"]
+
+    def test_a_process_that_stood_still_shows_it(self):
+        self.start(config={"ops": free()}, a={})
+        self.freeze()
+        self.thaw(after=0.5, since=time.monotonic())
+        until = time.monotonic() + PATIENCE
+        while self.late_ms() < 300 and time.monotonic() < until:
+            time.sleep(0.01)  # the timer fires within its period
+        self.assertGreaterEqual(self.late_ms(), 300)
