Let eight callers at most hold descriptors at the operators' address

Cause: any number of callers could hold a descriptor for 5 s each, and with them what is kept for discovery, the log and what closes. Test: 40 silent callers, and a call behind them is answered with no more than eight descriptors held; without the change 41 more were held than before them.

--- a/corkdeal/net/ops.py
+++ b/corkdeal/net/ops.py
@@ -22,11 +22,16 @@
 from typing import Any
 
 import orjson
+from twisted.internet.error import ConnectionAborted
+from twisted.protocols.policies import WrappingFactory
+from twisted.python.failure import Failure
 from twisted.web import resource, server
 
 from .config import text_of
+from .invariants import count
 
 IDLE = 5.0  # s that a connection may stay without a whole call; callers are known to stay 4 s
+CALLERS_MOST = 8  # connections at a time; their descriptors come out of what is kept for the process itself
 PREFIX = "app_"  # of the figures' names
 PUT_CALLS = ("standby", "active")
 HOLD_CALLS = ("enter", "exit")
@@ -113,10 +118,26 @@
         """No access log: calls are few and the gateway's own log says what they changed."""
 
 
+class FewCallers(WrappingFactory):
+    """Takes so many callers at a time; beyond that the one goes that has been connected for longest.
+
+    An answer is written in the turn in which its call came, so that one has hardly made a whole call.
+    """
+
+    noisy = False
+
+    def buildProtocol(self, addr: Any) -> Any:
+        """Take a caller; Twisted's own `protocols` holds those that are connected, the oldest first."""
+        if len(self.protocols) >= CALLERS_MOST:
+            count("ops_caller_closed_for_another")
+            next(iter(self.protocols)).transport.connectionLost(Failure(ConnectionAborted()))
+        return super().buildProtocol(addr)
+
+
 def listen(reactor: Any, at: tuple[str, int], operators: Any) -> Any:
     """Open the operations address, on this address only."""
     from .. import logs
 
-    port = reactor.listenTCP(at[1], Site(Calls(operators), timeout=IDLE), interface=at[0])
+    port = reactor.listenTCP(at[1], FewCallers(Site(Calls(operators), timeout=IDLE)), interface=at[0])
     logs.event("ops_listening", at=text_of(at))
     return port
--- a/tests/test_net_ops.py
+++ b/tests/test_net_ops.py
@@ -1,7 +1,9 @@
 """The operations address: its calls by table, what is held out by hand, and the program on real sockets."""
 
+import contextlib
 import http.client
 import json
+import os
 import socket
 
 import pytest
@@ -151,6 +153,18 @@
         bad.sendall(b"NOT HTTP AT ALL\r\n\r\n")
         self.assertTrue(bad.recv(100).startswith(b"HTTP/1.1 400"))
 
+    def test_a_crowd_of_silent_callers_holds_few_descriptors_and_delays_no_other(self):
+        self.start_ops(a={})
+        folder = f"/proc/{self.process.pid}/fd"
+        before, (host, port) = len(os.listdir(folder)), self.ops.split(":")
+        crowd = [socket.create_connection((host, int(port)), PATIENCE) for _ in range(40)]
+        for each in crowd:
+            self.addCleanup(each.close)
+        self.assertEqual(self.call("GET", "/status")[0], 200)  # behind them in the queue
+        self.assertLessEqual(len(os.listdir(folder)), before + ops.CALLERS_MOST)
+        with contextlib.suppress(ConnectionResetError):
+            self.assertEqual(crowd[0].recv(10), b"")
+
     def test_a_backend_held_out_gets_nothing_until_let_back_also_in_the_next_process(self):
         self.start_ops(a={}, b={})
         self.assertEqual(self.call("PUT", "/maintenance/enter/nobody")[0], 404)
