--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -64,11 +64,9 @@
         self.waited = 0.0  # s that what is being read lay here while the process stood still
         self.half_closed = self.closing = self.refused = False
         self.held = self.reading = self.ended = False
-        self.closed_at: float | None = (
-            None  # when its client may have ended its sending, if it is known to have
-        )
+        self.closed_at: float | None = None  # when its client may have ended its sending, where that is known
         self.left = False  # whether nothing more is begun for what its client asked
-        self.is_reset = False  # whether its client is known to have closed both ways: nobody reads an answer
+        self.is_reset = False  # whether its client has closed both ways, so that nobody reads an answer
         self.seen_open_at = self.since  # when its client was last known to send on
         self.body: RequestStream | None = None  # a command's long value on its way in
         self.kept = 0  # bytes of a long answer that its client has not taken, for the budget
