--- a/tests/net_world.py
+++ b/tests/net_world.py
@@ -190,10 +190,14 @@
             )
             world.raw = None
         with contextlib.suppress(ConnectionError):
-            self.send_response(200)
-            self.send_header("Content-Length", str(len(body)))
-            self.end_headers()
-            self.wfile.write(body)
+            self.answer(body)
+
+    def answer(self, body):
+        """Write one answer; other ways to end it are made by overriding this."""
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
 
 
 class World:
@@ -349,10 +353,11 @@
             self.line(text)
 
     def freeze(self):
-        """Stop the program where it waits for something to happen, and return once it has stopped."""
+        """Stop the program where it waits for something to happen; the time at which it had stopped."""
         self.until("S")
         self.process.send_signal(signal.SIGSTOP)
         self.until("T")
+        return time.monotonic()
 
     def until(self, state):
         """Wait until the kernel says that of the process."""
@@ -365,9 +370,32 @@
         time.sleep(max(0.0, since + after - time.monotonic()))
         self.process.send_signal(signal.SIGCONT)
 
-    def crowded(self):
-        """A backend whose kernel takes no connection until `queue` is emptied, and what fills it."""
-        backend = self.world.add("a")
+    def wait_for(self, true):
+        """Wait until that holds."""
+        until = time.monotonic() + PATIENCE
+        while not true():
+            self.assertLess(time.monotonic(), until)
+            time.sleep(0.005)
+
+    def pinged(self, many):
+        """Client connections that rest: each has asked once and has its answer."""
+        clients = [self.client() for _ in range(many)]
+        for client in clients:
+            client.send(command(b"PING"))
+            self.assertEqual(client.read(), [b"PONG"])
+        return clients
+
+    def serve(self, client, rid, cls=b"look", **more):
+        """Have one request served; the command that came to a backend for it."""
+        self.ask(client, cls, rid=rid, **more)
+        asked = self.world.next()
+        asked.conn.send(served())
+        self.assertEqual(client.read(), [b"v"])
+        return asked
+
+    def crowded(self, name="a"):
+        """A backend whose kernel takes no connection until its queue is emptied: its listening socket."""
+        backend = self.world.add(name)
         backend.listener.close()
         listener = socket.create_server(("127.0.0.1", 0), backlog=0)
         self.addCleanup(listener.close)
--- /dev/null
+++ b/tests/test_net_closing.py
@@ -0,0 +1,197 @@
+"""Bytes that come in the very instant in which the gateway closes a connection or shuts down.
+
+tests/test_net_moments.py explains how a stopped gateway makes a bad order come every time.
+"""
+
+import copy
+import json
+import signal
+import socket
+import unittest
+import unittest.mock
+
+from twisted.internet import tcp
+from twisted.internet.testing import MemoryReactorClock
+
+from corkdeal.net import backend_connection, client_connection
+from corkdeal.net.resp import command
+
+from .net_world import PATIENCE, SETTINGS, Moments, World, served
+
+
+class Closing(Moments):
+    """What these tests have in common."""
+
+    def all_served(self, clients):
+        """What each of these has asked is served."""
+        for _ in clients:
+            self.world.next().conn.send(served())
+        for client in clients:
+            self.assertEqual(client.read(), [b"v"])
+
+
+class Resting(Closing):
+    """A request on a client connection that rested until now."""
+
+    def test_as_the_gateway_ends_them_on_a_shutdown(self):
+        self.start(a={})
+        clients = self.pinged(4)
+        self.process.send_signal(signal.SIGTERM)
+        self.line("draining")
+        stopped = self.freeze()
+        for rid, client in enumerate(clients):
+            self.ask(client, b"pay", rid=rid, body=b"x")
+        self.thaw(after=0.6, since=stopped)  # closing those that are idle comes first now
+        self.all_served(clients)
+        for client in clients:
+            self.assertIsNone(client.read())
+        self.assertEqual(self.process.wait(PATIENCE), 0)
+
+    def test_as_its_time_to_rest_is_over(self):
+        self.start(config={"limits": {"sockets": 33}}, a={})  # so few that two clients are many
+        clients = self.pinged(2)
+        stopped = self.freeze()
+        for rid, client in enumerate(clients):
+            self.ask(client, b"pay", rid=rid, body=b"x")
+        self.thaw(after=2.2, since=stopped)
+        self.all_served(clients)
+
+    def test_sent_right_after_an_accept_and_a_signal_to_end(self):
+        self.start(a={})
+        self.freeze()
+        clients = [self.client() for _ in range(4)]
+        self.process.send_signal(signal.SIGTERM)
+        for rid, client in enumerate(clients):
+            self.ask(client, b"pay", rid=rid, body=b"x")
+        self.thaw()
+        self.all_served(clients)
+        self.assertEqual(self.process.wait(PATIENCE), 0)
+
+    def test_behind_the_end_of_its_connection_is_not_sent_on(self):
+        self.start(a={})
+        ended, shut, other = self.client(), self.client(), self.client()
+        request = command(*self.words(b"pay", rid=1, body=b"of nobody"))
+        ended.send(command(b"QUIT") + request)
+        shut.send(command(b"QUIT"))
+        for client in (ended, shut):
+            self.assertEqual(client.read(), [b"OK"])
+            self.assertIsNone(client.read())
+        shut.send(request)  # its answer could not come back any more
+        self.assertEqual(self.serve(other, 2).words[2], b"%016x" % 2)
+        self.process.send_signal(signal.SIGTERM)
+        self.assertEqual(self.process.wait(PATIENCE), 0)
+        self.assertTrue(self.world.asked.empty())
+
+
+class HalfALine(Closing):
+    """Half a line that a backend writes on a connection that was kept answers no later request."""
+
+    def kept(self, **settings):
+        """A backend's connection that is kept, and the client that used it."""
+        self.start(config={"settings": settings} if settings else None, a={})
+        client = self.client()
+        return client, self.serve(client, 1)
+
+    def test_as_the_connection_is_used(self):
+        for half in (b"*3\r\n$5\r\nab", b"-ER"):
+            with self.subTest(half):
+                client, warm = self.kept()
+                stopped = self.freeze()
+                self.ask(client, b"pay", rid=2, body=b"x")  # read first, as the other bytes lie there unread
+                warm.conn.send(half)
+                self.thaw(after=0.1, since=stopped)  # the connection has rested for long enough to be used
+                asked = self.world.next()
+                self.assertIsNot(asked.conn, warm.conn)
+                self.assertTrue(warm.ended.wait(PATIENCE))
+                asked.conn.send(served(b"own"))
+                self.assertEqual(client.read(), [b"own"])
+                self.stop()
+
+    def test_before_the_connection_is_used(self):
+        client, warm = self.kept()
+        stopped = self.freeze()
+        warm.conn.send(b"*3\r\n$5\r\nab")
+        self.ask(client, b"pay", rid=2, body=b"x")
+        self.thaw(after=0.1, since=stopped)
+        asked = self.world.next()
+        self.assertIsNot(asked.conn, warm.conn)
+        self.assertTrue(warm.ended.wait(PATIENCE))
+        asked.conn.send(served(b"own"))
+        self.assertEqual(client.read(), [b"own"])
+
+    def test_as_the_connection_is_retired(self):
+        settings = copy.deepcopy(SETTINGS)
+        settings["policy_limits"]["conn_idle_us"] = 500_000
+        client, warm = self.kept(**settings)
+        stopped = self.freeze()
+        warm.conn.send(b"*3\r\n$5\r\nab")
+        self.thaw(after=0.6, since=stopped)
+        self.assertTrue(warm.ended.wait(PATIENCE))
+        self.assertIsNot(self.serve(client, 2).conn, warm.conn)
+
+
+class Signals(Closing):
+    """A reload at once followed by what else may come."""
+
+    def reload_to(self, other):
+        """Have discovery move."""
+        self.config["discovery"] = f"127.0.0.1:{other.http.server_port}"
+        self.path.write_text(json.dumps(self.config))
+        self.process.send_signal(signal.SIGHUP)
+
+    def moved(self):
+        """Another discovery, with the same backends."""
+        other = World()
+        self.addCleanup(other.close)
+        other.backends, other.asked, other.revision = dict(self.world.backends), self.world.asked, 7
+        return other
+
+    def test_a_drain_of_a_backend_told_by_the_new_discovery(self):
+        self.start(a={}, b={})
+        client, other = self.client(), self.moved()
+        self.reload_to(other)
+        self.assertEqual(other.calls.get(timeout=PATIENCE), -1)  # it has the list in which both are ready
+        other.tell(a="Terminating")
+        self.assertEqual({self.serve(client, rid).backend.name for rid in range(8)}, {"b"})
+
+    def test_a_shutdown(self):
+        self.start(a={})
+        client, other = self.client(), self.moved()
+        self.ask(client, b"pay", body=b"x")
+        asked = self.world.next()
+        self.freeze()
+        late = self.client()
+        self.ask(late, b"pay", rid=2, body=b"y")
+        self.reload_to(other)
+        self.process.send_signal(signal.SIGTERM)
+        self.thaw()
+        asked.conn.send(served())
+        self.world.next().conn.send(served())
+        for each in (client, late):
+            self.assertEqual(each.read(), [b"v"])
+        self.assertEqual(self.process.wait(PATIENCE), 0)
+        self.line("reloaded")
+
+
+class Unbuffered(unittest.TestCase):
+    """A small write leaves at once: what the system held back would be lost with a reset."""
+
+    def transport(self, protocol):
+        """Twisted's own transport over a real connection."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            far = socket.create_connection(listener.getsockname(), PATIENCE)
+            near = listener.accept()[0]
+        self.addCleanup(far.close)
+        self.addCleanup(near.close)
+        near.setblocking(False)
+        protocol.makeConnection(tcp.Server(near, protocol, far.getsockname(), None, 1, MemoryReactorClock()))
+        return near.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+    def test_on_a_client_connection(self):
+        gateway = unittest.mock.MagicMock(now=lambda: 0.0)
+        self.assertTrue(self.transport(client_connection.ClientConnections(gateway).buildProtocol(None)))
+
+    def test_on_a_backend_connection(self):
+        pool = unittest.mock.MagicMock(now=lambda: 0.0)
+        attempt = backend_connection.Attempt(None, 0, "a", 0.0, 9.0, [b"x"])
+        self.assertTrue(self.transport(backend_connection.BackendConnection(pool, "a", attempt)))
--- /dev/null
+++ b/tests/test_net_edges.py
@@ -0,0 +1,343 @@
+"""Moments at the edge of a rule on real connections: cut answers, floods, late and slow bytes, late lists.
+
+tests/test_net_moments.py explains how a stopped gateway makes a bad order come every time.
+"""
+
+import contextlib
+import itertools
+import os
+import socket
+import threading
+import time
+
+from corkdeal.net.resp import command
+
+from .net_world import PATIENCE, Discovery, Moments, served
+
+GONE = b"ERR failed"
+
+PING = command(b"PING")
+
+
+def reset(sock):
+    """End a connection with a reset, whatever is still to be sent on it."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    sock.shutdown(socket.SHUT_RD)  # else a thread that reads it would keep it open
+    sock.close()
+
+
+class Edges(Moments):
+    """What these tests have in common."""
+
+    def descriptors(self):
+        """How many descriptors the program has open."""
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
+
+class CutAnswers(Discovery):
+    """Discovery whose answers have no length; `world.endings` tells how the next ones end."""
+
+    def answer(self, body):
+        ending = self.server.world.endings.pop(0) if self.server.world.endings else "whole"
+        self.close_connection = True
+        self.send_response(200)
+        if ending == "chunked, reset before its end":
+            self.send_header("Transfer-Encoding", "chunked")
+            body = b"%x\r\n%b\r\n" % (len(body), body)
+        elif ending == "short of its length, reset":
+            self.send_header("Content-Length", str(len(body) + 1))
+        self.end_headers()
+        self.wfile.write(body if "half" not in ending else body[: len(body) // 2])
+        if "reset" in ending:
+            self.rfile.close()
+            reset(self.connection)
+
+
+class DiscoveryAnswers(Edges):
+    """A reset is no end of an answer, and the end of the connection is."""
+
+    def setUp(self):
+        super().setUp()
+        self.world.endings = []
+        self.world.http.RequestHandlerClass = CutAnswers
+
+    def watching(self):
+        """Wait until a watch is open; the revision that it has."""
+        self.assertEqual(self.world.calls.get(timeout=PATIENCE), -1)
+        self.assertEqual(self.world.calls.get(timeout=PATIENCE), self.world.revision)
+        return self.world.revision
+
+    def publish(self):
+        """Publish what the test changed."""
+        with self.world.changed:
+            self.world.revision += 1
+            self.world.changed.notify_all()
+
+    def test_a_list_without_a_length_is_whole_as_its_connection_ends(self):
+        self.start(a={}, b={})
+        self.watching()
+        self.world.backends["a"].entry["phase"] = "Terminating"
+        self.publish()
+        self.assertEqual(self.world.calls.get(timeout=PATIENCE), self.world.revision)  # it was taken
+        client = self.client()
+        self.assertEqual({self.serve(client, rid).backend.name for rid in range(6)}, {"b"})
+
+    def test_a_list_that_was_cut_changes_nothing(self):
+        self.start(a={}, b={})
+        held = self.watching()
+        self.world.endings = ["half, reset", "half", "chunked, reset before its end"]
+        self.world.endings += ["short of its length, reset", "half, reset"]
+        self.addCleanup(self.world.backends.pop("a").listener.close)
+        self.publish()
+        calls = [self.world.calls.get(timeout=PATIENCE) for _ in range(6)]
+        self.assertEqual(calls, [held] * 5 + [held + 1])  # each asks for what the list held does not have
+        client = self.client()
+        self.assertEqual({self.serve(client, rid).backend.name for rid in range(6)}, {"b"})
+
+    def test_the_list_held_serves_while_answers_are_cut(self):
+        self.start(a={})
+        held = self.watching()
+        self.world.endings = ["half, reset"] * 10_000
+        self.addCleanup(self.world.backends.pop("a").listener.close)
+        self.publish()
+        client = self.client()
+        for rid in range(3):
+            self.assertEqual(self.world.calls.get(timeout=PATIENCE), held)
+            self.assertEqual(self.serve(client, rid).backend.name, "a")
+
+
+class Floods(Edges):
+    """Who sends much at once, and goes, costs nobody else anything."""
+
+    def test_bad_clients_that_send_much_and_go(self):
+        self.start(a={})
+        (good,) = self.pinged(1)
+        before = self.descriptors()
+        floods = (b"GET / HTTP/1.1\r\n" * 20_000, command(b"API.READ") * 20_000, command(b"QUIT") * 20_000)
+        clients = [self.client() for _ in range(30)]
+        for flood, client in zip(itertools.cycle(floods), clients, strict=False):
+            client.sock.setblocking(False)
+            with contextlib.suppress(BlockingIOError, ConnectionError):
+                client.sock.send(flood)
+        for client in clients[::2]:
+            reset(client.sock)
+        for client in clients[1::2]:
+            client.sock.close()
+        self.serve(good, 1)
+        self.wait_for(lambda: self.descriptors() == before + 1)  # the one more is the backend's connection
+
+    def test_pipelines_of_clients_that_go(self):
+        self.patient()  # no backend, so what is inside a quota waits for the whole test
+        before = self.descriptors()
+        clients = [self.client() for _ in range(6)]
+        for n, client in enumerate(clients):
+            rids = range(1000 * n, 1000 * n + 600)
+            client.send(b"".join(command(*self.words(b"look", d=80000, rid=rid)) for rid in rids))
+        for client in clients:
+            reset(client.sock)
+        self.wait_for(lambda: self.descriptors() == before)
+        self.world.add("a")
+        self.world.tell()
+        (staying,) = self.pinged(1)
+        self.assertEqual(self.serve(staying, 9000, customer=9).words[2], b"%016x" % 9000)
+        self.assertTrue(self.world.asked.empty())
+
+    def test_a_pipeline_whose_client_reads_on_has_every_answer_in_order(self):
+        self.start(a={})
+        client = self.client()
+        many = 700
+        client.send(b"".join(command(b"ECHO", b"%d" % i) + PING for i in range(many)))
+        client.sock.shutdown(socket.SHUT_WR)
+        answers = [client.read() for _ in range(2 * many)]
+        self.assertEqual(answers[::2], [[b"%d" % i] for i in range(many)])
+        self.assertEqual(answers[1::2], [[b"PONG"]] * many)
+        self.assertIsNone(client.read())
+
+
+class SpoiltAnswers(Edges):
+    """A backend's answer that breaks off, is none or never ends."""
+
+    def trickle(self, asked, start):
+        """Write an answer byte by byte, for as long as somebody takes it."""
+
+        def write():
+            with contextlib.suppress(OSError):
+                asked.conn.send(start)
+                while True:
+                    asked.conn.send(b"x")
+                    time.sleep(0.02)
+
+        threading.Thread(target=write, daemon=True).start()
+
+    def break_off(self, asked, part):
+        """Write a part of an answer, and end; the gateway may have seen at once that it is none."""
+        with contextlib.suppress(OSError):
+            asked.conn.send(part)
+            asked.conn.end()
+
+    def test_one_that_trickles_for_ever_is_given_up_long_before_the_deadline(self):
+        self.patient(a={})
+        client = self.client()
+        for rid, start in enumerate((b"-ERR ", b"*3\r\n$60000\r\n", b"*3\r\n$1")):
+            with self.subTest(start):
+                self.ask(client, b"pay", d=80000, rid=rid, body=b"x")
+                asked = self.world.next()
+                self.trickle(asked, start)
+                self.assertEqual(client.read(), [GONE])
+                self.assertTrue(asked.ended.wait(PATIENCE))
+
+    def test_one_that_breaks_off_is_repeated_where_that_is_harmless_and_only_there(self):
+        self.patient(a={}, b={})
+        client = self.client()
+        for rid, part in enumerate((b"*3\r\n$5\r\nab", b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", b"+OK\r\n")):
+            with self.subTest(part):
+                self.ask(client, b"pay", d=80000, rid=10 + rid, body=b"x")
+                asked = self.world.next()
+                self.break_off(asked, part)
+                self.assertEqual(client.read(), [GONE])
+                self.ask(client, d=80000, rid=rid)
+                asked = self.world.next()
+                self.break_off(asked, part)
+                again = self.world.next()
+                self.assertIsNot(again.backend, asked.backend)
+                again.conn.send(served(b"whole"))
+                self.assertEqual(client.read(), [b"whole"])
+        self.assertTrue(self.world.asked.empty())
+
+    def test_a_reset_long_after_the_request_was_begun(self):
+        self.patient(a={}, b={})
+        safe, unsafe = self.client(), self.client()
+        self.ask(safe, d=80000, rid=1)
+        first = self.world.next()
+        self.ask(unsafe, b"pay", d=80000, rid=2, body=b"x")
+        second = self.world.next()
+        time.sleep(1.5)
+        for asked in (first, second):
+            reset(asked.conn.sock)
+        again = self.world.next()
+        self.assertEqual(again.words[2], first.words[2])
+        self.assertIsNot(again.backend, first.backend)
+        again.conn.send(served())
+        self.assertEqual(safe.read(), [b"v"])
+        self.assertEqual(unsafe.read(), [GONE])
+        self.assertTrue(self.world.asked.empty())
+
+    def test_a_backend_that_hangs_in_the_middle_of_its_answer(self):
+        self.patient(a={}, b={})
+        client = self.client()
+        self.ask(client, d=80000)
+        first = self.world.next()
+        first.conn.send(b"*3\r\n$5\r\nab")
+        again = self.world.next()
+        self.assertTrue(first.ended.wait(PATIENCE))  # before the other one began
+        again.conn.send(served())
+        self.assertEqual(client.read(), [b"v"])
+
+
+class Slow(Edges):
+    """Clients that write slowly, and connections to backends that come up late."""
+
+    def test_commands_that_come_byte_by_byte(self):
+        self.patient(a={})
+        client = self.client()
+        client.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        commands = [command(*self.words(b"pay", d=80000, rid=rid, body=b"slow")) for rid in (1, 2)]
+        raw, size = commands[0] + commands[1], len(commands[0])
+        began, step = time.monotonic(), 1.7 / size  # each one comes in time, and both together do not
+        for i in range(len(raw)):
+            if i != size:
+                client.send(raw[i : i + 1] if i != size - 1 else raw[i : i + 2])  # one ends, one begins
+            time.sleep(max(0.0, began + (i + 1) * step - time.monotonic()))
+            if i == size:
+                asked = self.world.next()
+                self.assertGreater(int(asked.params[b"d"]), 79_000)  # its time counts from its last byte
+                asked.conn.send(served(b"first"))
+        self.world.next().conn.send(served(b"second"))
+        self.assertEqual([client.read(), client.read()], [[b"first"], [b"second"]])
+
+    def test_a_backend_whose_connections_come_up_late(self):
+        late = self.crowded("a")
+        self.start(b={})
+        client, seen = self.client(), 0
+        for rid in range(8):  # those that try the late one are moved, as nothing of them ran
+            self.assertEqual(self.serve(client, rid, b"pay", body=b"x").backend.name, "b")
+        late.settimeout(2.5)
+        with contextlib.suppress(TimeoutError):  # it takes connections by now; what was given up never comes
+            while True:
+                conn = late.accept()[0]
+                conn.setblocking(False)
+                with contextlib.suppress(BlockingIOError, ConnectionError):
+                    seen += len(conn.recv(65536))
+                conn.close()
+        self.assertEqual(seen, 0)
+
+
+class WholeLists(Edges):
+    """What a whole list does not name is gone, also where it still answers."""
+
+    def test_a_backend_that_is_left_out_gets_nothing_more(self):
+        self.patient(a={}, b={})
+        client = self.client()
+        used, rids = set(), itertools.count(100)
+        while len(used) < 2:  # a connection to each is kept
+            used.add(self.serve(client, next(rids), d=80000).backend.name)
+        self.ask(client, d=80000, rid=30)
+        out = self.world.next()
+        gone = self.world.backends.pop(out.backend.name)
+        self.addCleanup(gone.listener.close)
+        self.world.tell()
+        other = self.client()
+        for rid in range(40, 52):
+            self.assertIsNot(self.serve(other, rid, d=80000).backend, gone)
+        out.conn.send(served(b"finished"))  # what it has it may finish
+        self.assertEqual(client.read(), [b"finished"])
+        for rid in range(60, 72):
+            self.assertIsNot(self.serve(client, rid, d=80000).backend, gone)
+
+    def test_what_a_backend_that_is_left_out_fails_goes_elsewhere(self):
+        self.patient(a={}, b={})
+        client = self.client()
+        self.ask(client, d=80000)
+        out = self.world.next()
+        gone = self.world.backends.pop(out.backend.name)
+        self.addCleanup(gone.listener.close)
+        self.world.tell()
+        out.conn.end()
+        again = self.world.next()
+        self.assertIsNot(again.backend, gone)
+        again.conn.send(served())
+        self.assertEqual(client.read(), [b"v"])
+
+    def test_a_connection_that_still_comes_up_to_one_that_is_left_out(self):
+        late = self.crowded("a")
+        self.patient()
+        client = self.client()
+        self.ask(client, b"pay", d=80000, body=b"x")
+        del self.world.backends["a"]
+        self.world.add("b")
+        self.world.tell()
+        asked = self.world.next()
+        self.assertEqual(asked.backend.name, "b")
+        asked.conn.send(served())
+        self.assertEqual(client.read(), [b"v"])
+        late.close()
+
+
+class SilentWatches(Edges):
+    """A watch that was fine for long falls silent, and its connection with it."""
+
+    def test_the_list_is_asked_for_on_a_new_connection(self):
+        self.start(a={}, b={})
+        for _ in range(3):
+            self.world.tell()  # it has told much, always by the same connection
+        self.world.silent = True  # the call that is out is never answered
+        self.world.backends["a"].entry["phase"] = "Terminating"
+        with self.world.changed:
+            self.world.revision += 1
+        self.assertEqual(self.world.calls.get(timeout=PATIENCE), self.world.revision - 1)  # a second call
+        with self.world.changed:
+            self.world.silent = False
+            self.world.changed.notify_all()
+        self.wait_for(lambda: not self.world.calls.empty())
+        client = self.client()
+        self.assertEqual({self.serve(client, rid).backend.name for rid in range(8)}, {"b"})
