Write no repeat of a request with a key once its window is over

Cause: the decisions send a repeat only inside the window, but a repeat on a new connection is written when that comes up, up to the connect limit later, and a long value's last byte later still. With a window of 1 s and a connection that came up a second after the decision the repeat was written 0.8 s after the window.

Change: an attempt of a request that may have run has a time by which its last byte must be written, counted from when the first such attempt was decided on. It ends as moot when that is over, by a timer and by a look before the first byte is written.

Tests: two on real connections (the kernel's second try brings the connection up after the window; the same with the gateway stopped meanwhile), both red before; one on a fake clock for the look, red without it.

--- a/corkdeal/net/backend_connection.py
+++ b/corkdeal/net/backend_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -39,6 +40,8 @@
     conn: BackendConnection | None = None
     over: bool = False
     first: float | None = None  # s from sending it to the first byte of a long answer, once that is passed on
+    decided_at: float = 0.0  # when it was decided on; unlike `sent_at` this stays as it is
+    write_by: float = math.inf  # when its last byte has to be written: a repeat is dropped for so long only
 
     @property
     def whole(self) -> bool:
@@ -81,8 +84,12 @@
             self.begin(self.attempt)
 
     def begin(self, attempt: Attempt) -> None:
-        """Write an attempt; from its first byte on it counts as sent."""
-        self.attempt, attempt.conn, self.begun_at = attempt, self, self.pool.now()
+        """Write an attempt; from its first byte on it counts as sent. One that is too late to write ends."""
+        self.attempt, attempt.conn = attempt, self
+        now = self.pool.now()
+        if now > attempt.write_by:
+            return self.pool.too_late(attempt)
+        self.begun_at = now
         if attempt.rpc is None or attempt.rpc.body is None:
             vectored_write.write(self.transport, attempt.parts)
             return
@@ -282,6 +289,21 @@
         self.opened += 1
         conn.connector = self.reactor.connectTCP(*at, Dial(conn), timeout=self.connect_timeout)
 
+    def limit_write(self, attempt: Attempt) -> None:
+        """End the attempt at its `write_by`, unless its last byte is written by then."""
+        if attempt.write_by < math.inf and not attempt.over:
+            self.reactor.callLater(max(0.0, attempt.write_by - self.now()), self.write_is_due, attempt)
+
+    def write_is_due(self, attempt: Attempt) -> None:
+        """Its time to be written is over."""
+        if not attempt.over and not attempt.whole:
+            self.too_late(attempt)
+
+    def too_late(self, attempt: Attempt) -> None:
+        """End an attempt that was not written in time; this says nothing of its backend."""
+        count("repeat_too_late_to_write")
+        self.give_up(attempt, t.Status.MOOT)
+
     def drop_connecting(self) -> None:
         """End the attempts that have not been written yet; this says nothing of their backends."""
         for conn in [c for c in self.open if c.attempt and not c.attempt.over and c.begun_at is None]:
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -430,6 +430,8 @@
         rid = rpc.request.id
         self.out.pop((rid, attempt.number), None)
         rpc.attempt = None
+        if rpc.ran_since is None and reply.status not in NEVER_RAN:
+            rpc.ran_since = attempt.decided_at
         rpc.release()
         if reply.status is t.Status.OK and not rpc.done:
             self.tally["success"] += 1
@@ -511,11 +513,23 @@
             return self.feed(t.Outcome(a.id, rpc.attempts, a.server, t.Status.MOOT, 0.0, True))
         until = min(rpc.deadline, now + a.timeout) if a.timeout > 0 else rpc.deadline
         attempt = Attempt(rpc, rpc.attempts, a.server, now, until, rpc.parts(until - now))
+        attempt.decided_at, attempt.write_by = now, self.window_end(rpc)
         self.out[a.id, attempt.number] = rpc.attempt = attempt
         rpc.attempts += 1
         self.tally["backend_calls"] += 1
         self.timer(until, attempt)
         self.pool.send(attempt)
+        self.pool.limit_write(attempt)
+
+    def window_end(self, rpc: RPC) -> float:
+        """Until when backends drop a repeat of what may have run; no end where there is none to drop.
+
+        The decisions send nothing after it, but a connection may come up, or take the last byte, later.
+        """
+        cls = self.settings.classes[rpc.request.cls]
+        if cls.effect is not t.Effect.KEYED or rpc.ran_since is None:
+            return math.inf
+        return rpc.ran_since + cls.window
 
     def refuse(self, a: t.Refuse) -> None:
         """A rejection, with the time after which to come again where that is allowed."""
--- a/corkdeal/net/rpc.py
+++ b/corkdeal/net/rpc.py
@@ -49,6 +49,7 @@
     client_connection: Any = None
     attempt: Any = None  # the attempt that is out
     attempts: int = 0
+    ran_since: float | None = None  # when the first attempt that may have run was decided on
     done: bool = False  # answered, or nobody waits for it
     left: bool = False  # its client sends no more, so nothing more is begun for it
     reply: list[Any] | None = None  # the answer, or what has come of it, while it waits for those before it
--- a/tests/test_net_edges.py
+++ b/tests/test_net_edges.py
@@ -4,15 +4,17 @@
 """
 
 import contextlib
+import copy
 import itertools
 import os
+import pathlib
 import socket
 import threading
 import time
 
 from corkdeal.net.resp import command
 
-from .net_world import PATIENCE, Discovery, Moments, served
+from .net_world import PATIENCE, SETTINGS, Discovery, Moments, served
 
 GONE = b"ERR failed"
 
@@ -341,3 +343,69 @@
         self.wait_for(lambda: not self.world.calls.empty())
         client = self.client()
         self.assertEqual({self.serve(client, rid).backend.name for rid in range(8)}, {"b"})
+
+
+class Windows(Edges):
+    """A repeat of a request with a key is written inside the window or not at all."""
+
+    WINDOW = 1.0  # s
+
+    def repeat_that_connects(self):
+        """A repeat that was decided on inside the window, on a connection that comes up a second later."""
+        settings = copy.deepcopy(SETTINGS)
+        settings["policy_limits"]["connect_timeout_us"] = 60_000_000
+        for each in settings["classes"]:
+            each.update(aim_us=16_000_000, deadline_us=40_000_000)
+        settings["classes"][1]["window_us"] = int(1e6 * self.WINDOW)
+        self.late, first = self.crowded("b"), self.world.add("a")
+        self.world.backends["b"].entry["phase"] = "Terminating"
+        self.start(config={"settings": settings})
+        client = self.client()
+        self.ask(client, b"note", d=6000, more=b",k=ab", body=b"the one repeat")
+        began = time.monotonic()
+        asked = self.world.next()
+        self.assertIs(asked.backend, first)
+        self.world.tell(b="Ready")
+        before = self.connecting()
+        time.sleep(max(0.0, began + 0.8 * self.WINDOW - time.monotonic()))
+        asked.conn.send(b"-ERR failed\r\n")
+        self.wait_for(lambda: self.connecting() > before)
+        threading.Thread(target=self.accept, daemon=True).start()  # the kernel asks again a second later
+        return client, began
+
+    def connecting(self):
+        """Connections to the late backend that the kernel has asked for and that are not up."""
+        to = f":{self.late.getsockname()[1]:04X}"
+        rows = [line.split() for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()]
+        return sum(row[2].endswith(to) and row[3] == "02" for row in rows)
+
+    def accept(self):
+        """Accept all that comes to the late backend."""
+        self.accepted = []
+        with contextlib.suppress(OSError):
+            while True:
+                self.accepted.append(self.late.accept()[0])
+
+    def assert_nothing_came(self):
+        """The program has ended, so what it wrote is there by now."""
+        self.process.kill()
+        self.process.wait()
+        for conn in self.accepted:
+            conn.setblocking(False)
+            with contextlib.suppress(BlockingIOError, ConnectionError):
+                self.assertEqual(conn.recv(65536), b"")
+            conn.close()
+
+    def test_the_connection_comes_up_after_the_window(self):
+        client, began = self.repeat_that_connects()
+        self.assertEqual(client.read(), [GONE])
+        time.sleep(max(0.0, began + 2.3 * self.WINDOW - time.monotonic()))  # it would be up by then
+        self.assert_nothing_came()
+
+    def test_the_gateway_learns_only_after_the_window_that_the_connection_is_up(self):
+        client, began = self.repeat_that_connects()
+        self.freeze()
+        self.wait_for(lambda: not self.connecting())
+        self.thaw(after=1.2 * self.WINDOW, since=began)
+        self.assertEqual(client.read(), [GONE])
+        self.assert_nothing_came()
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -454,6 +454,13 @@
         self.assertEqual((self.ended, pool.open), ([t.Status.CONNECT_FAILED], set()))
         self.assertEqual(self.up()[1].value(), b"")
 
+    def test_an_attempt_that_is_too_late_to_write_is_not_written(self):
+        pool, attempt = self.dial()
+        attempt.write_by = self.reactor.seconds() + 1.0
+        self.reactor.advance(1.1)  # this turn began before, so its timer has not run
+        self.assertEqual(self.up()[1].value(), b"")
+        self.assertEqual((self.ended, pool.open), ([t.Status.MOOT], set()))
+
     def test_outcomes_by_where_the_connection_broke(self):
         for left, status in ((b"", t.Status.RESET), (b"rest", t.Status.CONNECT_FAILED)):
             self.dial()
