--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -6,6 +6,8 @@
 import pytest
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
+from twisted.python.failure import Failure
+from twisted.web.client import ResponseDone
 
 from corkdeal.net import discovery_snapshot, discovery_watch
 
@@ -169,3 +171,38 @@
     for _ in range(2000):
         clock.advance(0.01)
     assert max(b - a for a, b in itertools.pairwise(calls)) <= 0.25
+
+
+class FallsSilent(Halved):
+    """An agent that answers each call after its wait, but for the one that is out as it falls silent."""
+
+    def __init__(self, clock, silent_at):
+        super().__init__(clock, 0.0)
+        self.silent_at = silent_at
+
+    def request(self, method, url):
+        self.calls.append(self.clock.seconds())
+        done = Deferred()
+        answer_at = self.clock.seconds() + discovery_watch.WAIT_MS / 1000
+        if answer_at < self.silent_at or self.calls[-1] > self.silent_at:
+            self.clock.callLater(answer_at - self.clock.seconds(), done.callback, self)
+        return done
+
+    def deliverBody(self, protocol):
+        protocol.makeConnection(self)
+        protocol.dataReceived(b'{"revision":3,"complete":false,"members":[]}')
+        protocol.connectionLost(Failure(ResponseDone()))
+
+
+@pytest.mark.parametrize("silent_at", [0.5, 13.0, 13.9])
+def test_a_watch_that_was_fine_for_long_and_falls_silent_is_opened_anew(silent_at):
+    clock, told = Clock(), []
+    watch = discovery_watch.Watch(
+        clock, ("127.0.0.1", 1), settings(drain_grace=0.25), told.append, HELD, random.Random(1)
+    )
+    watch.agent = agent = FallsSilent(clock, silent_at)
+    watch.run()
+    advance(clock, 20.0)
+    anew = next(at for at in agent.calls if at > silent_at)
+    assert anew - silent_at <= 6.0  # from then on what it misses counts as told
+    assert len([at for at in agent.calls if at > anew]) >= 1 and told
