Shed new connections only where the process itself worked while its loop was late

Cause: on a machine busy with other work the timer fires late as well, twice in a row at times, and turning clients away then helps nobody.

--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -300,7 +300,7 @@
 
     def sweep(self, due: float) -> None:
         """Retire idle connections now and then; see what another life was told by hand."""
-        self.lateness.fired(due, self.now())
+        self.lateness.fired(due, self.now(), time.process_time())
         self.sweep_later()  # first: whatever fails here, the next look comes
         self.operators.follow()
         self.pool.sweep()
