--- a/corkdeal/brain.py
+++ b/corkdeal/brain.py
@@ -11,8 +11,8 @@
 
 from . import interface as t
 from . import peers, wide
-from .cold import ColdBudget
 from .plumbing import Plumbing
+from .slow_start import SlowStartBudget
 from .state import Account, Edge, Pair, Pending, Server
 
 if TYPE_CHECKING:
@@ -54,7 +54,7 @@
 
     def __init__(self, settings: t.Settings, seed: int) -> None:
         super().__init__(settings, seed)
-        self.cold = ColdBudget(settings, self.rng)
+        self.slow_start = SlowStartBudget(settings, self.rng)
         self.teller = wide.Teller(settings.gateways, settings.peer_intake)
         self.many, self.older_by = settings.gateways > NARROW, OLDER
         self.guess = FIRST_WORK * min(c.aim for c in settings.classes)  # s, before anything is known
@@ -224,7 +224,7 @@
             self.spend(a, req.units)
             self.retries_left = min(RETRY_STORE, self.retries_left + RETRY_SHARE)
         a.open += 1
-        self.cold.spend(server, self.work_of(req))
+        self.slow_start.spend(server, self.work_of(req))
         server.slow = 1 + (server.slow - 1) * self.fresh(server)
         server.out[req.e.id], server.sent_at = (self.now, self.load(server)), self.now
         self.sent[req.e.id, req.attempts] = (server, a)
@@ -315,12 +315,12 @@
 
     def warmth(self, server: Server) -> float:
         """Least share of its capacity that it has by now."""
-        return self.cold.warmth(server, self.now)
+        return self.slow_start.warmth(server, self.now)
 
     def cold_room(self, server: Server, req: Pending) -> bool:
         """Whether a cold server stands one more request of this gateway's."""
         sharers = self.s.gateways * len(self.mine) / len(self.servers) / (self.part or 1.0)
-        return self.cold.room(server, self.now, self.work_of(req), sharers)
+        return self.slow_start.room(server, self.now, self.work_of(req), sharers)
 
     def choose(self, req: Pending) -> Server | None:
         """Least expected delay among servers that may be used; a trial first where one is due.
@@ -378,7 +378,7 @@
             server.shut[req.e.cls] = server.shut.get(req.e.cls, (0.0, 0.0))[0] * 0.8, 0.0
             server.failures = max(0, server.failures - 1)
             server.ejected = server.ejected and server.failures > 0
-            self.cold.served(self.now, self.work_of(req), sum(self.warmth(s) for s in self.mine))
+            self.slow_start.served(self.now, self.work_of(req), sum(self.warmth(s) for s in self.mine))
             key, usual = (req.e.cls, math.ceil(req.e.units)), self.typical(req)
             self.work[key] = usual + LEARN / (1 + load) * (e.elapsed - usual)  # mostly from idle servers
             ratio = e.elapsed * self.warmth(server) / usual / max(1.0, self.pace * (1 + load))
--- a/corkdeal/cold.py
+++ b/corkdeal/slow_start.py
@@ -19,7 +19,7 @@
 START_CORES = 2.0  # trusted until enough was served to tell
 
 
-class ColdBudget:
+class SlowStartBudget:
     """One gateway's part of what each cold server stands, counted as work (s of usual latency)."""
 
     def __init__(self, settings: t.Settings, rng: random.Random) -> None:
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -6,13 +6,13 @@
 import sys
 
 ROOT = pathlib.Path(__file__).parents[1]
-DECIDING = {"brain", "cold", "plumbing", "state", "peers", "wide", "memory", "early", "succession"}
+DECIDING = {"brain", "slow_start", "plumbing", "state", "peers", "wide", "memory", "early", "succession"}
 DECIDING |= {"interface"}
 PURE = {
     "interface": set(),
     "state": {"interface", "peers"},
     "peers": {"interface"},
-    "cold": {"interface", "state"},
+    "slow_start": {"interface", "state"},
     "memory": {"interface", "state"},
     "wide": {"peers", "state", "brain"},
     "plumbing": {"interface", "memory", "peers", "state", "wide", "recovery", "membership"},
--- a/tests/test_cold.py
+++ b/tests/test_slow_start.py
@@ -6,7 +6,7 @@
 
 from corkdeal import interface as t
 from corkdeal.brain import Gateway
-from corkdeal.cold import ColdBudget
+from corkdeal.slow_start import SlowStartBudget
 from corkdeal.state import Server
 
 from .helpers import outcome, pick, request, servers, settings
@@ -19,7 +19,7 @@
     """Of 30 servers each gateway prefers 10; all would like to send the cold one everything."""
     rng = random.Random(gateways)
     s = settings(gateways=gateways, cold_share=0.25, warm_within=16.0, fall_multiple=4.0)
-    budgets = [ColdBudget(s, random.Random(i)) for i in range(gateways)]
+    budgets = [SlowStartBudget(s, random.Random(i)) for i in range(gateways)]
     sharing = [g for g in range(gateways) if gateways < 10 or g % 3 == 0]
     weights = [1 / (1 + g) ** skew for g in range(gateways)]
     cold = [Server(t.ServerEntry("new", t.ServerState.READY, started=20.0)) for _ in range(gateways)]
@@ -43,7 +43,7 @@
 
 def test_without_anything_served_yet_a_cold_server_is_still_tried():
     s = settings(gateways=40, cold_share=0.25, warm_within=16.0)
-    budget = ColdBudget(s, random.Random(1))
+    budget = SlowStartBudget(s, random.Random(1))
     cold = Server(t.ServerEntry("new", t.ServerState.READY, started=1.0))
     sent = 0
     for k in range(160):
@@ -55,7 +55,7 @@
 
 @pytest.mark.parametrize("seconds", [3, 8, 60])
 def test_the_rate_served_is_known_from_the_first_seconds(seconds):
-    budget = ColdBudget(settings(), random.Random(1))
+    budget = SlowStartBudget(settings(), random.Random(1))
     for k in range(seconds * 10):
         budget.served(100.0 + k / 10, WORK, 5.0)
     assert budget.rate(100.0 + seconds) == pytest.approx(10 * WORK / 5.0, rel=0.15)
