Judge cold starts before fleets of 5 to 1,100 gateways in virtual time

Need: what all gateways together send to a started backend was only tried in three small cases, without bursts, restarts and lists that come late. The judge counts falls by the operators' rule and the work that the backend did, over starts drawn by number: lulls and bursts of up to five times, skewed loads, restarts of up to all gateways, smaller and larger machines, requests of different work, lists 0 to 5 s late.

--- /dev/null
+++ b/benchmarks/slow_start.py
@@ -0,0 +1,62 @@
+"""Cold starts before fleets of 5 to 1,100 gateways, in virtual time: falls, and what the started servers did.
+
+PYTHONPATH=. python -O benchmarks/slow_start.py [--starts N] [--sizes N,N...] [--name NAME] [--out FILE]
+
+For each size `--starts` are drawn by their numbers, so that two revisions play the same ones. The judge and
+what is drawn are in `corkdeal/experiment/slow_start.py`. `--out` adds the rows to those that the file has.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import pathlib
+import random
+import time
+from typing import Any
+
+from corkdeal.experiment.slow_start import Play, Verdict, draw
+
+
+def table(verdicts: list[Verdict]) -> dict[str, Any]:
+    """Counts over many starts, and mean shares over those after which the server stood."""
+
+    def mean(shares: list[float]) -> float:
+        return round(sum(shares) / max(1, len(shares)), 3)
+
+    stood = [v for v in verdicts if not v.fell]
+    return {
+        "starts": len(verdicts),
+        "broken": sum(v.broken for v in verdicts),
+        "fell_by_untold": sum(v.fell and not v.broken for v in verdicts),
+        "sent_of_allowed": mean([v.sent / v.allowed for v in stood]),
+        "done_of_able": mean([v.done / v.able for v in stood]),
+        "worst": round(max((v.worst for v in verdicts), default=0.0), 2),
+    }
+
+
+def main() -> None:
+    """Play the starts of each size and print a line a size."""
+    p = argparse.ArgumentParser()
+    p.add_argument("--starts", type=int, default=2500)
+    p.add_argument("--sizes", default="5,30,200,1100")
+    p.add_argument("--name", default="now")
+    p.add_argument("--out", type=pathlib.Path)
+    args = p.parse_args()
+    rows = []
+    for size in map(int, args.sizes.split(",")):
+        begun = time.process_time()
+        verdicts = [
+            Play(draw(size, random.Random(f"{size} {number}")), number).run() for number in range(args.starts)
+        ]
+        row = {"revision": args.name, "gateways": size, **table(verdicts)}
+        row["cpu_s"] = round(time.process_time() - begun)
+        rows.append(row)
+        print(json.dumps(row), flush=True)
+    if args.out:
+        before = json.loads(args.out.read_text()) if args.out.exists() else []
+        args.out.write_text("[\n" + ",\n".join(json.dumps(row) for row in before + rows) + "\n]\n")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/corkdeal/experiment/slow_start.py
@@ -0,0 +1,273 @@
+"""Cold starts before a whole fleet of gateways, in virtual time: does a started server fall, what does it do?
+
+One server starts. Each gateway that prefers it (`sharers`) holds a real `SlowStartBudget` and wants to send
+it every request that it gets, which is the most that a choice of servers can ask of the budget. The judge
+counts by the operators' rule: a cold server falls when it gets more than N + 2 sqrt(N) + 2 requests of mean
+work within `fall_window`, N being what the settings allow it at that moment, and the rule is broken if over
+two thirds of that came from gateways that had been told of the start.
+
+Deterministic by seed; no I/O, no clock.
+"""
+
+from __future__ import annotations
+
+import bisect
+import itertools
+import math
+import random
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from .. import interface as t
+from ..slow_start import SlowStartBudget
+from ..state import Server
+
+SETTLE = 12.0  # s of load before the start, so that gateways know what they serve
+TOLD_PART = 2 / 3  # of the work in the window, from which on a fall breaks the rule
+GIVEN_UP = 2.0  # s of work waiting at the cold server, above which its clients have gone
+MOST_PREFERRED, NARROW = 10, 8  # servers that a gateway prefers; gateways up to which each prefers all
+DOWN = 0.5  # s that a restarted gateway is away
+
+
+@dataclass(slots=True, frozen=True)
+class Burst:
+    """A spell in which the load is `times` the usual one; under 1 it is a lull."""
+
+    at: float  # s after the start
+    lasts: float  # s
+    times: float
+
+
+@dataclass(slots=True, frozen=True)
+class ColdStart:
+    """What is played: the fleet, its load, and what happens while one server warms up."""
+
+    settings: t.Settings
+    servers: int
+    capacity: float  # s of work a second, a mean warm server's
+    size: float  # of the started server, in mean ones
+    works: tuple[float, ...]  # s of work that a request may be, all alike often
+    load: float  # of the warm servers' capacity
+    skew: float = 0.0  # exponent of Zipf's law by which gateways get the load
+    told_within: float = 0.0  # s after the start in which all gateways are told, one by one
+    returned: bool = False  # whether gateways not yet told take it for a warm server
+    bursts: tuple[Burst, ...] = ()
+    restarts: tuple[tuple[float, float], ...] = ()  # (s after the start, share of the gateways)
+
+    @property
+    def preferred(self) -> int:
+        """Servers that each gateway prefers."""
+        return self.servers if self.settings.gateways <= NARROW else min(MOST_PREFERRED, self.servers)
+
+    @property
+    def sharers(self) -> float:
+        """Gateways that prefer the started server."""
+        return self.settings.gateways * self.preferred / self.servers
+
+    @property
+    def mean_work(self) -> float:
+        """Mean work of a request, s."""
+        return sum(self.works) / len(self.works)
+
+    def warmth(self, age: float) -> float:
+        """Least part of its capacity that the settings allow at this age."""
+        s = self.settings
+        return min(1.0, s.cold_share + (1 - s.cold_share) * max(0.0, age) / s.warm_within)
+
+    def allowed(self, age: float) -> float:
+        """N: requests of mean work in a fall window."""
+        s = self.settings
+        able = s.fall_multiple * self.capacity * self.size * self.warmth(age) * s.fall_window
+        return able / self.mean_work
+
+    def segments(self) -> list[tuple[float, float, float]]:
+        """Load over time: (from, to, times the usual load), s after the start."""
+        marks = {-SETTLE, self.settings.warm_within}
+        marks.update(x for b in self.bursts for x in (b.at, b.at + b.lasts) if x < self.settings.warm_within)
+        return [
+            (a, b, math.prod(x.times for x in self.bursts if x.at <= a < x.at + x.lasts))
+            for a, b in itertools.pairwise(sorted(marks))
+        ]
+
+
+@dataclass(slots=True)
+class Verdict:
+    """How one cold start went; work in s."""
+
+    fell: bool = False
+    broken: bool = False  # fell, mostly by gateways that had been told
+    sent: float = 0.0
+    allowed: float = 0.0  # by the settings, until it was warm or fell
+    done: float = 0.0  # what the started server could do of what it was sent
+    able: float = 0.0  # what it could have done
+    worst: float = 0.0  # most that it got in a window, in terms of what makes it fall
+
+
+class FallJudge:
+    """The operators' rule on one started server."""
+
+    def __init__(self, start: ColdStart) -> None:
+        self.start, self.recent = start, deque[tuple[float, float, bool]]()
+        self.work = self.told_work = 0.0
+        self.verdict = Verdict()
+
+    def sent(self, age: float, work: float, told: bool) -> None:
+        """A request comes to the started server."""
+        self.recent.append((age, work, told))
+        self.work += work
+        self.told_work += work * told
+        while self.recent[0][0] <= age - self.start.settings.fall_window:
+            _, gone, was_told = self.recent.popleft()
+            self.work -= gone
+            self.told_work -= gone * was_told
+        allowed = self.start.allowed(age)
+        got = self.work / self.start.mean_work / (allowed + 2 * math.sqrt(allowed) + 2)
+        self.verdict.worst = max(self.verdict.worst, got)
+        if got > 1:
+            self.verdict.fell, self.verdict.broken = True, self.told_work > TOLD_PART * self.work
+
+
+class Sharer:
+    """One gateway that prefers the started server: its budget, and when it was told of the start."""
+
+    def __init__(self, start: ColdStart, told_at: float, seed: int) -> None:
+        self.start, self.told_at, self.sharers = start, told_at, start.sharers
+        self.budget = SlowStartBudget(start.settings, random.Random(seed))
+        self.server = Server(t.ServerEntry("new", t.ServerState.READY, started=0.0), met_at=told_at)
+        self.server.entry = t.ServerEntry("new", t.ServerState.READY, started=1e-9)  # 0 means long ago
+
+    def sends(self, age: float, work: float) -> bool:
+        """Whether this request goes to the started server, of whose start it was told."""
+        may = self.budget.room(self.server, age, work, self.sharers)
+        if may:
+            self.budget.spend(self.server, work)
+        return may
+
+
+class Play:
+    """One cold start before all its sharers."""
+
+    def __init__(self, start: ColdStart, seed: int) -> None:
+        self.start, self.chance, self.judge = start, random.Random(seed), FallJudge(start)
+        self.seeds, self.backlog, self.at = itertools.count(seed * 10_000), 0.0, 0.0
+        count = max(1, round(start.sharers))
+        weights = [1 / (1 + place) ** start.skew for place in range(count)]
+        self.weights = list(itertools.accumulate(weights))
+        self.gateways = [self.gateway() for _ in range(count)]
+        self.back_at = [-math.inf] * count
+
+    def gateway(self, told_at: float | None = None) -> Sharer:
+        """A gateway that begins now with no knowledge of what is served."""
+        told_at = self.chance.uniform(0.0, self.start.told_within) if told_at is None else told_at
+        return Sharer(self.start, told_at, next(self.seeds))
+
+    def restart(self, age: float, share: float) -> None:
+        """That share of the gateways goes away and comes back with new budgets."""
+        for place in self.chance.sample(range(len(self.gateways)), round(share * len(self.gateways))):
+            self.back_at[place] = age + DOWN
+            self.gateways[place] = self.gateway(max(age + DOWN, self.gateways[place].told_at))
+
+    def arrivals(self) -> Iterator[tuple[float, float, int]]:
+        """Requests of the sharers: s after the start, times the usual load, the gateway's place."""
+        start, chance = self.start, self.chance
+        usual = start.load * start.capacity * start.preferred / start.mean_work
+        for begin, end, times in start.segments():
+            age = begin
+            while times > 0 and (age := age + chance.expovariate(usual * times)) < end:
+                yield age, times, bisect.bisect(self.weights, chance.random() * self.weights[-1])
+
+    def advance(self, age: float) -> None:
+        """Let the started server work until then."""
+        start, judge = self.start, self.judge
+        past, self.at = age - self.at, age
+        able = start.capacity * start.size * start.warmth(age) * past
+        done = min(self.backlog, able)
+        self.backlog -= done
+        judge.verdict.done += done
+        judge.verdict.able += able
+        judge.verdict.allowed += start.allowed(age) * start.mean_work * past / start.settings.fall_window
+
+    def send(self, age: float, work: float, told: bool) -> bool:
+        """Send to the started server; whether it will be answered in time."""
+        self.judge.sent(age, work, told)
+        self.judge.verdict.sent += work
+        in_time = self.backlog < GIVEN_UP * self.start.capacity * self.start.size * self.start.warmth(age)
+        self.backlog += work * in_time
+        return in_time
+
+    def run(self) -> Verdict:
+        """Play it until the server is warm or has fallen."""
+        start, chance, verdict = self.start, self.chance, self.judge.verdict
+        restarts = deque(sorted(start.restarts))
+        for age, times, place in self.arrivals():
+            while restarts and restarts[0][0] <= age:
+                self.restart(*restarts.popleft())
+            gateway, work = self.gateways[place], chance.choice(start.works)
+            if age < self.back_at[place]:
+                continue
+            able = self.able(age)
+            warm = start.preferred - (age > 0)  # servers, which may be overloaded
+            answered = chance.random() * start.load * times * start.preferred < warm
+            if age > 0:
+                self.advance(age)
+                told = age >= gateway.told_at
+                if gateway.sends(age, work) if told else self.unaware():
+                    answered = self.send(age, work, told)
+                    if verdict.fell:
+                        return verdict
+            if answered:
+                gateway.budget.served(age, work, able)
+        self.advance(start.settings.warm_within)
+        return verdict
+
+    def able(self, age: float) -> float:
+        """What a sharer's preferred servers can do, in warm ones."""
+        return self.start.preferred - (1 - self.start.warmth(age) if age > 0 else 0.0)
+
+    def unaware(self) -> bool:
+        """Whether a gateway that doesn't know of the start sends there: an even part of what it gets."""
+        return self.start.returned and self.chance.random() * self.start.preferred < 1
+
+
+def draw(gateways: int, chance: random.Random) -> ColdStart:
+    """A cold start in a tier of that size: few servers or many, any load, bursts after lulls, restarts."""
+    widest = max(12, 2 * gateways if gateways <= 200 else gateways // 2)
+    rate = math.exp(chance.uniform(math.log(4), math.log(40)))  # requests a second that a warm server can do
+    capacity = chance.choice((1, 2, 3, 4, 8)) * chance.uniform(0.7, 1.5)
+    shape = chance.choice(((1.0,), (0.8, 1.0, 1.2), (0.5, 1.5), (0.4, 0.8, 1.8)))
+    warm_within = chance.uniform(8.0, 18.0)
+    settings = t.Settings(
+        0,
+        gateways,
+        (t.RequestClass(1.0, 3.0),),
+        (t.Plan(1.0),),
+        fall_multiple=chance.choice((2.0, 3.0, 4.0)),
+        fall_window=chance.choice((1.0, 1.5, 2.0)),
+        cold_share=chance.uniform(0.15, 0.4),
+        warm_within=warm_within,
+    )
+    quiet = chance.uniform(0.3, warm_within - 4)  # s after the start, at which a lull begins
+    lull = chance.uniform(0.3, 2.0)
+    bursts = (
+        Burst(quiet, lull, chance.choice((0.0, 0.3, 1.0))),
+        Burst(quiet + lull, chance.uniform(0.5, 4.0), chance.choice((1.5, 2.0, 3.0, 5.0))),
+    )
+    restarts = [
+        (chance.uniform(0.0, warm_within), chance.uniform(0.05, 0.3)) for _ in range(chance.randrange(4))
+    ]
+    if chance.random() < 0.2:
+        restarts.append((chance.uniform(-1.0, 3.0), chance.uniform(0.7, 1.0)))
+    return ColdStart(
+        settings,
+        servers=round(math.exp(chance.uniform(math.log(10), math.log(widest)))),
+        capacity=capacity,
+        size=chance.uniform(0.7, 1.3),
+        works=tuple(capacity / rate * x for x in shape),
+        load=chance.uniform(0.4, 1.1),
+        skew=chance.choice((0.0, 0.5, 0.8, 1.2)),
+        told_within=chance.choice((0.0, 0.5, 2.0, 5.0)),
+        returned=chance.random() < 0.5,
+        bursts=bursts,
+        restarts=tuple(restarts),
+    )
--- /dev/null
+++ b/tests/test_slow_start_judge.py
@@ -0,0 +1,92 @@
+"""The judge of cold starts: it must count by the rule, and see a budget that is too large or none at all."""
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from corkdeal import interface as t
+from corkdeal.experiment.slow_start import Burst, ColdStart, FallJudge, Play, draw
+
+
+def cold_start(gateways=40, servers=40, **more):
+    settings = t.Settings(
+        0, gateways, (), (), fall_multiple=4.0, fall_window=1.0, cold_share=0.25, warm_within=16.0
+    )
+    given = {"capacity": 4.0, "size": 1.0, "works": (0.25,), "load": 0.8}
+    return ColdStart(settings, servers, **{**given, **more})
+
+
+@pytest.mark.parametrize(
+    "sent, fell, broken",
+    [
+        ([(0.0, 26, True)], False, False),  # N = 16 at the start: 26 requests and no more
+        ([(0.0, 27, True)], True, True),
+        ([(0.0, 20, True), (0.9, 20, True)], True, True),
+        ([(0.0, 20, True), (1.1, 20, True)], False, False),  # in windows of 1 s
+        ([(0.0, 17, True), (0.0, 10, False)], True, False),  # a third came from gateways that knew nothing
+        ([(16.0, 81, True)], False, False),  # N = 64 once warm
+        ([(16.0, 83, True)], True, True),
+    ],
+)
+def test_a_server_falls_by_the_rule(sent, fell, broken):
+    judge = FallJudge(cold_start())
+    for age, requests, told in sent:
+        for _ in range(requests):
+            if not judge.verdict.fell:
+                judge.sent(age, 0.25, told)
+    assert (judge.verdict.fell, judge.verdict.broken) == (fell, broken)
+
+
+class AllIsSent:
+    """A budget that knows no bounds."""
+
+    def sends(self, age, work):
+        return True
+
+
+class NothingIsSent:
+    """A budget that lets nothing through."""
+
+    def sends(self, age, work):
+        return False
+
+
+def with_budget(kind, **more):
+    play = Play(cold_start(**more), seed=1)
+    for gateway in play.gateways:
+        gateway.sends = kind().sends
+    return play.run()
+
+
+def test_a_budget_without_bounds_breaks_the_rule_and_an_empty_one_does_nothing():
+    assert with_budget(AllIsSent).broken
+    verdict = with_budget(NothingIsSent)
+    assert not verdict.fell and verdict.done == verdict.sent == 0 and verdict.able > 0
+
+
+def test_what_gateways_that_were_not_told_send_is_no_break():
+    verdict = with_budget(NothingIsSent, told_within=1e6, returned=True, load=3.0)
+    assert verdict.fell and not verdict.broken
+
+
+def test_a_lull_a_burst_and_restarts_are_played():
+    bursts = (Burst(2.0, 1.0, 0.0), Burst(3.0, 1.0, 3.0))
+    play = Play(cold_start(bursts=bursts, restarts=((6.0, 1.0),)), seed=1)
+    first = list(play.gateways)
+    ages = [age for age, _, _ in play.arrivals()]
+    usual = 0.8 * 16 * 10
+    assert not [a for a in ages if 2.0 < a < 3.0]
+    assert sum(3.0 < a < 4.0 for a in ages) == pytest.approx(3 * usual, rel=0.25)
+    assert sum(8.0 < a < 12.0 for a in ages) == pytest.approx(4 * usual, rel=0.25)
+    play.run()
+    assert not set(map(id, first)) & set(map(id, play.gateways))
+
+
+@pytest.mark.parametrize("gateways", [5, 30, 200, 1100])
+def test_what_is_drawn_holds_the_sizes_and_is_the_same_again(gateways):
+    starts = [draw(gateways, random.Random(n)) for n in range(20)]
+    assert starts == [draw(gateways, random.Random(n)) for n in range(20)]
+    assert {s.settings.gateways for s in starts} == {gateways} and len({s.servers for s in starts}) > 2
+    short = replace(starts[0], works=(starts[0].mean_work,))
+    assert Play(short, 3).run() == Play(short, 3).run()
