--- a/benchmarks/slow_start.py
+++ b/benchmarks/slow_start.py
@@ -30,6 +30,7 @@
         "broken": sum(v.broken for v in verdicts),
         "fell_by_untold": sum(v.fell and not v.broken for v in verdicts),
         "sent_of_allowed": mean([v.sent / v.allowed for v in stood]),
+        "done_of_due": mean([min(1.0, v.done / v.due) for v in stood]),
         "done_of_able": mean([v.done / v.able for v in stood]),
         "worst": round(max((v.worst for v in verdicts), default=0.0), 2),
     }
--- a/corkdeal/experiment/slow_start.py
+++ b/corkdeal/experiment/slow_start.py
@@ -101,6 +101,7 @@
     allowed: float = 0.0  # by the settings, until it was warm or fell
     done: float = 0.0  # what the started server could do of what it was sent
     able: float = 0.0  # what it could have done
+    due: float = 0.0  # what it would have done at the load of the warm servers
     worst: float = 0.0  # most that it got in a window, in terms of what makes it fall
 
 
@@ -175,8 +176,8 @@
             while times > 0 and (age := age + chance.expovariate(usual * times)) < end:
                 yield age, times, bisect.bisect(self.weights, chance.random() * self.weights[-1])
 
-    def advance(self, age: float) -> None:
-        """Let the started server work until then."""
+    def advance(self, age: float, times: float) -> None:
+        """Let the started server work until then; the load was `times` the usual one."""
         start, judge = self.start, self.judge
         past, self.at = age - self.at, age
         able = start.capacity * start.size * start.warmth(age) * past
@@ -184,6 +185,7 @@
         self.backlog -= done
         judge.verdict.done += done
         judge.verdict.able += able
+        judge.verdict.due += able * min(1.0, start.load * times)
         judge.verdict.allowed += start.allowed(age) * start.mean_work * past / start.settings.fall_window
 
     def send(self, age: float, work: float, told: bool) -> bool:
@@ -208,7 +210,7 @@
             warm = start.preferred - (age > 0)  # servers, which may be overloaded
             answered = chance.random() * start.load * times * start.preferred < warm
             if age > 0:
-                self.advance(age)
+                self.advance(age, times)
                 told = age >= gateway.told_at
                 if gateway.sends(age, work) if told else self.unaware():
                     answered = self.send(age, work, told)
@@ -216,7 +218,7 @@
                         return verdict
             if answered:
                 gateway.budget.served.add(age, work / able)
-        self.advance(start.settings.warm_within)
+        self.advance(start.settings.warm_within, 1.0)
         return verdict
 
     def able(self, age: float) -> float:
