--- a/corkdeal/slow_start.py
+++ b/corkdeal/slow_start.py
@@ -5,9 +5,9 @@
 and S are. The tier stays under A in that one of two ways which sends more (derived in docs/fleet.md):
 - buckets: each may save `saved`, its largest request or more, and gains its part of SURE N in T, or of what
   S saved leaves of A(SURE N). No window holds more than A(SURE N), whatever comes when.
-- draws: each saves what it gains in `held` windows and stakes it for a request; the chance is saved / request.
+- draws: each saves what it gains in `held` windows and stakes it for a request, chance saved / request.
   A window has a mean of m = (1 + held) x the gain of T and a variance of m at most; its root deviates by 1/2.
-  As sqrt(m) = sqrt(N) - SHORT, A is 3 deviations off if all had saved.
+  As sqrt(m) <= sqrt(N) - SHORT, A is 3.4 deviations off if all had saved. No more than SURE N is gained.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 from .state import FadingRate, Server
 
 SURE = 0.7  # of the mean capacity, the smallest server's; what is served may come up to the mean
-SAVED, LEAST, SHORT = 0.1, 0.25, 0.6  # parts of N, and what is taken off its root, as above
+SAVED, LEAST, SHORT = 0.1, 0.25, 0.7  # parts of N, and what is taken off its root, as above
 HELD = 0.2  # requests to a warm server, in whose time a part of one may be saved: with ten servers, two
 FADE = 0.999  # a look, of the largest request known
 MEMORY = 10.0  # s over which served work is averaged: while few are let in, less is served than could be
@@ -45,7 +45,7 @@
         sure, saved = SURE * allowed, max(self.largest / one, SAVED * SURE * allowed)
         gain = min(sure, sure + 2 * math.sqrt(sure) + 2 - saved)
         held = min(1.0, HELD * self.usual_work / (rate * self.s.fall_window))
-        drawn = max(LEAST * allowed, max(0.0, math.sqrt(allowed) - SHORT) ** 2) / (1 + held)
+        drawn = max(LEAST * allowed, min(sure, max(0.0, math.sqrt(allowed) - SHORT) ** 2 / (1 + held)))
         return (gain * one, saved * one) if gain >= drawn else (drawn * one, drawn * one * held)
 
     def room(self, server: Server, now: float, need: float, sharers: float) -> bool:
