--- a/benchmarks/slow_start.py
+++ b/benchmarks/slow_start.py
@@ -1,9 +1,10 @@
 """Cold starts before fleets of 5 to 1,100 gateways, in virtual time: falls, and what the started servers did.
 
-PYTHONPATH=. python -O benchmarks/slow_start.py [--starts N] [--sizes N,N...] [--name NAME] [--out FILE]
+PYTHONPATH=. python -O benchmarks/slow_start.py [--starts N] [--first N] [--sizes N,N] [--out FILE]
 
-For each size `--starts` are drawn by their numbers, so that two revisions play the same ones. The judge and
-what is drawn are in `corkdeal/experiment/slow_start.py`. `--out` adds the rows to those that the file has.
+For each size `--starts` are drawn by their numbers from `--first` on, so that two revisions play the same
+ones. The judge and what is drawn are in `corkdeal/experiment/slow_start.py`. `--out` adds the rows to those
+that the file has, under `--name`.
 """
 
 from __future__ import annotations
@@ -40,16 +41,15 @@
     """Play the starts of each size and print a line a size."""
     p = argparse.ArgumentParser()
     p.add_argument("--starts", type=int, default=2500)
+    p.add_argument("--first", type=int, default=0, help="number of the first start")
     p.add_argument("--sizes", default="5,30,200,1100")
     p.add_argument("--name", default="now")
     p.add_argument("--out", type=pathlib.Path)
     args = p.parse_args()
-    rows = []
+    rows, numbers = [], range(args.first, args.first + args.starts)
     for size in map(int, args.sizes.split(",")):
         begun = time.process_time()
-        verdicts = [
-            Play(draw(size, random.Random(f"{size} {number}")), number).run() for number in range(args.starts)
-        ]
+        verdicts = [Play(draw(size, random.Random(f"{size} {number}")), number).run() for number in numbers]
         row = {"revision": args.name, "gateways": size, **table(verdicts)}
         row["cpu_s"] = round(time.process_time() - begun)
         rows.append(row)
