Free a backend connection's descriptor at once where it goes for another

Cause: Pool.make_room closed an idle connection by Twisted's abort, which holds the descriptor until the next turn, and opened another one at once; with many requests in one turn the process passed limits.sockets. Seen in a run of all tests on a loaded machine: test_full_table counted 192 descriptors of 192; usually 179 to 181. Change: such a connection is closed in the same turn. The new test fails without it (two descriptors for one).

--- a/corkdeal/net/backend_connection.py
+++ b/corkdeal/net/backend_connection.py
@@ -8,8 +8,10 @@
 from dataclasses import dataclass
 from typing import Any
 
+from twisted.internet.error import ConnectionAborted
 from twisted.internet.protocol import ClientFactory
 from twisted.protocols.basic import LineReceiver
+from twisted.python.failure import Failure
 
 from .. import interface as t
 from . import vectored_write
@@ -25,6 +27,7 @@
 SETTLE = 0.007  # s that a connection rests after an answer: what comes behind it must not answer the next RPC
 REPLY_STALL, REPLY_LATE = 0.1, 0.3  # s without another byte of an answer, and from its first to its last
 CONNECT_PART = 0.25  # of the shortest aim, after which a connection that is not up is given up
+ABORTED = Failure(ConnectionAborted())
 
 
 @dataclass(slots=True, eq=False)
@@ -196,6 +199,11 @@
         elif self.connector is not None:
             self.connector.stopConnecting()
 
+    def drop(self) -> None:
+        """End an idle one for another's sake. Many may be opened in this turn, so its descriptor goes now."""
+        self.close()
+        self.transport.connectionLost(ABORTED)
+
     def lost(self) -> None:
         """It never came up, or broke: the attempt ran only if its last byte was written."""
         if self.ended:
@@ -259,9 +267,7 @@
         self.addresses: dict[str, tuple[str, int]] = {}
         self.idle: dict[str, list[BackendConnection]] = {}
         self.open: set[BackendConnection] = set()
-        self.closing: set[BackendConnection] = (
-            set()
-        )  # closed here; each holds a descriptor until the next turn
+        self.closing: set[BackendConnection] = set()  # closed here, with a descriptor until the next turn
         self.opened = 0  # since the start
         self.turn: Callable[[], bool] | None = None  # called before a write: whether the process stood still
 
@@ -310,9 +316,9 @@
             self.give_up(conn.attempt, t.Status.MOOT)
 
     def make_room(self) -> bool:
-        """Close the connection that has stood idle for longest."""
+        """Close the connection that has stood idle for longest, and free its descriptor in this turn."""
         if spare := [conns[0] for conns in self.idle.values() if conns]:
-            min(spare, key=lambda c: c.idle_since).close()
+            min(spare, key=lambda c: c.idle_since).drop()
         return bool(spare)
 
     def keep(self, conn: BackendConnection) -> None:
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -477,9 +477,8 @@
         self.reactor.advance(2 * backend_connection.SETTLE)
         pool.send(backend_connection.Attempt(None, 0, "a", 0.0, 9.0, [b"y"]))
         self.assertEqual((transport.value(), len(self.reactor.tcpClients)), (b"xy", 1))
-        pool.send(
-            backend_connection.Attempt(None, 0, "a", 0.0, 9.0, [b"z"])
-        )  # one connection is the most here
+        # one connection is the most here
+        pool.send(backend_connection.Attempt(None, 0, "a", 0.0, 9.0, [b"z"]))
         self.assertEqual(self.ended[-1], t.Status.MOOT)
         connection.dataReceived(b"+PONG\r\n")
         self.reactor.advance(self.gateway.settings.conn_idle - 1)
@@ -488,6 +487,17 @@
         pool.send(backend_connection.Attempt(None, 0, "a", 0.0, 9.0, [b"y"]))
         self.assertEqual(len(self.reactor.tcpClients), 2)
 
+    def test_one_that_goes_for_another_frees_its_descriptor_in_the_same_turn(self):
+        pool, _ = self.dial()
+        connection, transport = self.up()
+        transport.abortConnection = lambda: None  # what Twisted's has to do comes a turn later
+        transport.connectionLost = connection.connectionLost
+        connection.dataReceived(b"+PONG\r\n")
+        # the connection has not settled, and one is the most here
+        pool.send(backend_connection.Attempt(None, 0, "a", 0.0, 9.0, [b"y"]))
+        self.assertEqual(len(self.reactor.tcpClients), 2)
+        self.assertEqual(len(pool.open) + len(pool.closing), 1)
+
     def test_what_lies_in_a_warm_connection_answers_no_rpc(self):
         pool, _ = self.dial()
         pool.most = 9
