Refuse a window of nothing for cold servers in the settings, by name

Cause: rules.fall_us of 0 was taken and divided by for each request with a cold server, which then failed. The new case fails without it.

--- a/corkdeal/wire.py
+++ b/corkdeal/wire.py
@@ -199,7 +199,7 @@
         answer_slack=number(pairs, "rules.answer_slack_us", 0.0) / US,
         drain_grace=number(pairs, "rules.drain_grace_us", 0.0) / US,
         fall_multiple=number(pairs, "rules.fall_multiple", 2.0),
-        fall_window=number(pairs, "rules.fall_us", 1e6) / US,
+        fall_window=number(pairs, "rules.fall_us", 1e6, least=1) / US,
         cold_share=number(pairs, "rules.cold_share", 0.1),
         warm_within=number(pairs, "rules.warm_within_us", 20e6) / US,
     )
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -86,6 +86,7 @@
         (batch(attach(TEXT.replace("balancers=2\n", ""))), "balancers"),
         (batch(attach(TEXT.replace("aim_us=1000000", "aim_us=soon"))), "classes.0.aim_us"),
         (batch(attach(TEXT.replace("semantics=pure", "semantics=odd"))), "classes.0.semantics"),
+        (batch(attach(TEXT + "rules.fall_us=0\n")), "rules.fall_us"),
     ],
 )
 def test_malformed_input_ends_with_one_plain_line(data, word):
