Let go of long commands and attempts whose request is over, wherever it ended

Cause, found by a review and shown by two scripts: a long command that came whole after its client had left was refused, but its bytes stayed in the budget for good; and an attempt of a request answered meanwhile, with no cancel allowed, was written when its connection came up, or raised on the lost client transport. Change: the bytes are released; such an attempt ends as moot; a lost transport is not looked at. Both tests fail without it (196,613 bytes kept; the command written).

--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -140,6 +140,7 @@
         """Hand on an RPC that has come whole, unless its client left while it lay here unread."""
         if self.left:
             rpc.reply = [self.gateway.turned_down(rpc, 0.0)]
+            rpc.release()
         else:
             self.gateway.take(rpc)
 
@@ -406,6 +407,8 @@
 
     def look(self, now: float) -> None:
         """Ask the kernel how far its client has ended the connection, and act on that."""
+        if not self.transport.connected:
+            return
         state = peer_state(self.transport.getHandle())
         if state is PeerState.OPEN:
             self.seen_open_at = now
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -412,7 +412,12 @@
     def may_write(self, attempt: Attempt) -> bool:
         """Whether an attempt whose connection has come up may begin; one that may not is given up."""
         rpc = attempt.rpc
-        if rpc is None or rpc.client_connection.may_begin(self.now()):
+        if rpc is None:
+            return True
+        if rpc.done:  # answered meanwhile, and the decisions may not cancel
+            self.pool.give_up(attempt, t.Status.MOOT)
+            return False
+        if rpc.client_connection.may_begin(self.now()):
             return True
         self.let_go(rpc)
         return False
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -461,6 +461,29 @@
     assert not pair.reactor.tcpClients
 
 
+def test_a_body_that_comes_whole_after_its_client_has_left_is_refused_and_kept_no_longer():
+    pair, raw = Pair(), write()
+    pair.client_connection.dataReceived(raw[:LONG])
+    pair.client_connection.client_left()
+    assert pair.gateway.budget.total > 0
+    pair.client_connection.dataReceived(raw[LONG:])
+    assert bytes(pair.client.taken) == b"-BUSY\r\n"
+    assert pair.gateway.budget.total == 0 and not pair.gateway.reader.open
+
+
+def test_an_attempt_of_a_request_that_is_answered_does_not_begin_once_its_connection_comes_up():
+    pair = Pair()
+    params = b"c=look,t=large,d=3000,units=1,spread=1,first=0"
+    pair.client_connection.dataReceived(command(b"API.READ", b"%016x" % 7, b"%016x" % 1, params))
+    rpc = pair.gateway.rpcs[1]
+    pair.gateway.answer(1, [b"-ERR failed\r\n"])
+    pair.client_connection.connectionLost()
+    pair.client.connected = False
+    _, wire = pair.back()
+    assert not wire.taken and rpc.attempt is None and not pair.gateway.out
+    assert [e.status for e in pair.heard if isinstance(e, t.Outcome)] == [t.Status.MOOT]
+
+
 def test_a_body_without_room_waits_then_is_refused_and_an_answer_without_room_waits():
     pair = Pair()
     budget = pair.gateway.budget
