Name the attempts whose time is over apart from how late the turn is

In Timers.ring one name stood for a time and for a list. No behaviour changes; tests of parsers, long values, lateness and departures on a fake clock pass.

--- a/corkdeal/net/timers.py
+++ b/corkdeal/net/timers.py
@@ -56,11 +56,11 @@
             self.reactor.callLater(0, self.turn_over)
         self.wake, self.wake_at = None, math.inf
         tokens: list[int] = []
-        late: list[Attempt] = []
+        expired: list[Attempt] = []
         while self.heap and self.heap[0][0] <= now:
             what = heapq.heappop(self.heap)[2]
-            (late if type(what) is Attempt else tokens).append(what)
-        self.due(tokens, late)
+            (expired if type(what) is Attempt else tokens).append(what)
+        self.due(tokens, expired)
         self.arm()
 
     def turn_over(self) -> None:
