Name an incarnation's file only once it is locked, and probe without taking its lock

Cause: HandoverFiles.join created the file of its incarnation and locked it in a second step, and is_running found out who lives by taking the lock and kept a negative answer for good. A look between the two steps got the lock: the joiner counted as ended from then on; its own lock failed if it fell within the look; a third start removed its file; and two looks at an ended process took each other for its life. A number whose file had been removed could also be taken again by a start that had listed the folder before.

Change: the file is locked under a temporary name and then linked to its own. A look opens the file without creating it and takes a shared lock, so looks don't disturb each other, and no answer is kept.

--- a/corkdeal/persistence/files.py
+++ b/corkdeal/persistence/files.py
@@ -86,6 +86,10 @@
         """Close a file."""
         os.close(file)
 
+    def link(self, existing: str, new: str) -> None:
+        """Give a file a second name; raises `FileExistsError` if the name is in use."""
+        os.link(existing, new, src_dir_fd=self.descriptor, dst_dir_fd=self.descriptor)
+
     def rename(self, old: str, new: str) -> None:
         """Rename a file; one of the new name is replaced atomically."""
         os.rename(old, new, src_dir_fd=self.descriptor, dst_dir_fd=self.descriptor)
@@ -113,15 +117,40 @@
         file = os.open(name, os.O_RDWR | os.O_CREAT | OPEN_FLAGS, 0o600, dir_fd=self.descriptor)
         try:
             require_own_regular_file(os.fstat(file), name)
+            self.lock_file(file)
+        except BaseException:
+            os.close(file)
+            raise
+        return file
+
+    def lock_file(self, file: int) -> None:
+        """Lock an open file until it is closed; raises `FolderLockedError` if another process has it."""
+        try:
             fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError as error:
-            os.close(file)
             raise FolderLockedError(f"{self.path}: locked by another process") from error
+
+    def open_existing(self, name: str) -> int:
+        """Open a file for reading and return its descriptor; raises `FileNotFoundError` if there is none."""
+        file = os.open(name, os.O_RDONLY | OPEN_FLAGS, dir_fd=self.descriptor)
+        try:
+            require_own_regular_file(os.fstat(file), name)
         except BaseException:
             os.close(file)
             raise
         return file
 
+    def is_locked(self, file: int) -> bool:
+        """Whether another process has locked an open file.
+
+        Takes a shared lock until the file is closed, so that any number of processes can look at once.
+        """
+        try:
+            fcntl.flock(file, fcntl.LOCK_SH | fcntl.LOCK_NB)
+        except BlockingIOError:
+            return True
+        return False
+
 
 def require_own_regular_file(status: os.stat_result, name: str) -> None:
     """Raise `UnsafeFileError` unless the status is that of a regular file of this user's."""
