Count the steps of a look at an ended process where the test of two looks makes it

The test counted them in a folder whose start had removed the ended one's file, so on the program before it made no step and passed.

--- a/tests/persistence/test_handover_races.py
+++ b/tests/persistence/test_handover_races.py
@@ -300,17 +300,20 @@
 
 # Two processes that looked at an ended one at once took each other's look for its life.
 def test_two_probes_of_an_ended_process_at_once_both_see_that_it_ended(folders):
-    first_folder = folders()
-    ended, running = first_folder.ended(), first_folder.joined()
-    steps = step_count(lambda: running.is_running(ended.incarnation))
-    for before in range(steps + 1):
+    def three_processes():
         folder = folders()
-        ended = folder.joined()
-        first, second = folder.joined(), folder.joined()
+        ended, first, second = folder.joined(), folder.joined(), folder.joined()
         ended.close()
-        look = SteppedProcess(lambda first=first, ended=ended: first.is_running(ended.incarnation))
+        return folder, ended.incarnation, first, second
+
+    _, number, first, _ = three_processes()
+    steps = step_count(lambda: first.is_running(number))
+    assert steps > 2
+    for before in range(steps + 1):
+        folder, number, first, second = three_processes()
+        look = SteppedProcess(lambda first=first, number=number: first.is_running(number))
         look.advance(before)
-        assert not second.is_running(ended.incarnation)
+        assert not second.is_running(number)
         assert folder.process().join() == second.incarnation
         assert not look.finish()
 
