Close a client connection whose client takes none of its answers for 5 s

Callers: clients that stayed and read nothing kept their descriptors for good, until new clients got "max number of clients reached". 34 clients with 60 answers of 60 kB each, unread, held 34 of 104 descriptors for over 24 s, and new clients were refused for 20 s of that (limits.sockets 128).

Cause: only streamed answers (over 64 KiB) had a limit for a client that stops reading.

Requests that are pending put that off: they have deadlines.

Evidence: test_a_client_that_never_reads_its_replies_is_closed waits 60 s in vain on the program before, and passes now.

--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -20,7 +20,7 @@
 from .resp import Frame, MalformedError, Parser
 from .response_stream import ResponseStream
 from .rpc import READ, RPC, WRITE, BadRequestError
-from .tcp_state import PeerState, peer_state, seconds_since_fin
+from .tcp_state import PeerState, peer_state, seconds_since_fin, unacknowledged_bytes
 
 MAX_PENDING_REPLIES = 256  # unanswered commands at which the gateway stops reading from a client connection
 MAX_BAD_REQUESTS = 16  # bad requests at which a connection is closed, so that a flood of them costs little
@@ -57,6 +57,7 @@
     def __init__(self, gateway: Any) -> None:
         self.gateway, self.parser = gateway, Parser()
         self.idle = gateway.descriptors.idle
+        self.stalled_readers = gateway.descriptors.stalled_readers
         self.pending_replies: deque[RPC | ImmediateReply] = deque()  # in command order
         self.command_started_at = 0.0  # when the first byte of an incomplete command was read
         self.idle_since = gateway.now()  # when it was accepted or last became idle
@@ -265,6 +266,10 @@
         """Return the number of bytes written but not yet accepted by the socket."""
         return len(self.transport.dataBuffer) - self.transport.offset + self.transport._tempDataLen
 
+    def untaken_bytes(self) -> int:
+        """Return the number of bytes written that the client's side has not acknowledged."""
+        return self.unsent_bytes() + unacknowledged_bytes(self.transport.getHandle())
+
     def flush(self) -> None:
         """Write the replies that are next in order by one vectored write; close a connection that is done."""
         if self.is_parsing:
@@ -281,6 +286,8 @@
             self.pending_replies.popleft()
         if parts and self.transport.connected:
             vectored_write.write(self.transport, parts)
+            if vectored_write.pending(self.transport):
+                self.stalled_readers.watch(self)
         if is_streamed:
             self.throttle_response()
         if self.at_reply_limit and len(self.pending_replies) < MAX_PENDING_REPLIES // 2:
@@ -379,6 +386,13 @@
         self.idle.discard(self)
         self.transport.connectionLost(ABORTED)
 
+    def close_unread(self) -> None:
+        """Close because the client does not read its replies; those that it can't take are discarded."""
+        count("answer_not_taken")
+        self.terminating = self.is_shut_down = True
+        self.idle.discard(self)
+        self.transport.abortConnection()
+
     def close_when_idle(self) -> None:
         """Close between requests: now or after the last pending reply. Unread requests are served first."""
         if not self.closing and not self.terminating:
@@ -492,6 +506,7 @@
         self.gateway.client_connections.discard(self)
         self.idle.discard(self)
         self.gateway.descriptors.paused.discard(self)
+        self.stalled_readers.discard(self)
         self.gateway.budget.set_held(self, 0)
         self.abandon_pending()
         self.gateway.client_connection_ended()
--- a/corkdeal/net/descriptors.py
+++ b/corkdeal/net/descriptors.py
@@ -7,6 +7,7 @@
 
 from .idle_connections import Awaited, IdleConnections, Use
 from .invariants import count
+from .stalled_readers import StalledReaders
 
 RESERVED = 24  # descriptors for the log, discovery, peers and connections being closed
 COMMAND_TIMEOUT = 2.5  # s within which a command must be complete; clients are promised 2 s
@@ -26,6 +27,7 @@
     def __init__(self, limit: int, client_connections: set[Any], now: Callable[[], float]) -> None:
         self.limit, self.client_connections, self.now = limit - RESERVED, client_connections, now
         self.idle = IdleConnections()
+        self.stalled_readers = StalledReaders(now)
         self.paused: set[Any] = set()  # client connections from which reading is paused
         self.pool: Any = None
 
@@ -62,9 +64,11 @@
         return False
 
     def sweep(self) -> None:
-        """Close connections that are silent, idle, late with a command, or whose clients disconnected."""
+        """Close connections that are silent, idle, unread, late with a command, or left by their clients."""
         for connection in list(self.paused):
             connection.check_paused()
+        for connection in self.stalled_readers.find_stalled():
+            connection.close_unread()
         now, is_crowded = self.now(), len(self.client_connections) > self.limit // 8
         self.close_late_commands(now - COMMAND_TIMEOUT)
         self.close_silent(now - (MIN_SILENT_TIME if is_crowded else COMMAND_TIMEOUT))
--- a/corkdeal/net/response_stream.py
+++ b/corkdeal/net/response_stream.py
@@ -14,12 +14,12 @@
 from .backend_replies import Reply, check_header, check_value, load_report_at
 from .invariants import count
 from .resp import Frame, MalformedError, skip_items
+from .stalled_readers import CLIENT_STALL_TIMEOUT
 
 if TYPE_CHECKING:
     from .backend_connection import Attempt, BackendConnection
 
 BACKEND_STALL_TIMEOUT = 5.0  # s without a byte from an unpaused backend, after which its reply is abandoned
-CLIENT_STALL_TIMEOUT = 5.0  # s without a byte taken by the client, after which its connection is closed
 
 
 class ResponseStream:
--- a/corkdeal/net/tcp_state.py
+++ b/corkdeal/net/tcp_state.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import enum
+import fcntl
 import select
 import socket
 import struct
+import termios
 from typing import Any
 
 CLOSE_WAIT = 8  # kernel TCP state: the peer has sent its FIN, this side has not
 STATE_OFFSET = 0  # offset of tcpi_state, one byte, in struct tcp_info
 ARRIVAL_AGES = struct.Struct("@II")  # tcpi_last_data_recv and tcpi_last_ack_recv, ms
 ARRIVAL_AGES_OFFSET, TCP_INFO_SIZE = 52, 64
+QUEUE_SIZE = struct.Struct("@i")  # what TIOCOUTQ returns
 
 
 class PeerState(enum.Enum):
@@ -54,6 +57,15 @@
     return ARRIVAL_AGES.unpack_from(info, ARRIVAL_AGES_OFFSET)[1] / 1000
 
 
+def unacknowledged_bytes(handle: Any) -> int:
+    """Return the bytes in a socket's send queue that the peer has not acknowledged; 0 if that is unknown."""
+    try:
+        answer = fcntl.ioctl(handle.fileno(), termios.TIOCOUTQ, bytes(QUEUE_SIZE.size))
+    except (OSError, ValueError):  # closed
+        return 0
+    return int(QUEUE_SIZE.unpack(answer)[0])
+
+
 def tcp_info(handle: Any) -> bytes:
     """Return the kernel's struct tcp_info, or b"" if it provides none or a shorter one."""
     try:
