Close unread connections before the kill, so that a gateway ends by itself

Cause: the process ends when no client connection is open, and one with buffered answers closes only after its client has read them. answer_open_rpcs ends the open requests 0.15 s before the kill, not such connections.

Change: it also closes the connections that still buffer bytes; what the kernel has accepted is still sent.

--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -372,8 +372,13 @@
         Many such connections lingering could fill the descriptor table.
         """
         self.terminating = True
-        self.idle.discard(self)
         vectored_write.write(self.transport, [reply])
+        self.close_now()
+
+    def close_now(self) -> None:
+        """Close without waiting for the client; the kernel still sends what it has accepted."""
+        self.terminating = True
+        self.idle.discard(self)
         self.transport.connectionLost(CLOSED)
 
     def drop(self) -> None:
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -312,10 +312,17 @@
         self.client_connection_ended()
 
     def answer_open_rpcs(self) -> None:
-        """Answer all requests that are still open, because the process will be killed soon."""
+        """Answer all requests that are still open, because the process will be killed soon.
+
+        A client that does not read its replies can't take them before the kill either, and must not keep the
+        subsystems from stopping.
+        """
         for rpc in list(self.rpcs.values()):
             count("unserved_at_last_call")
             self.abandon(rpc)
+        for connection in self.descriptors.stalled_readers.still_buffering():
+            count("answer_not_taken")
+            connection.close_now()
 
     def abandon(self, rpc: RPC) -> None:
         """End an RPC in whatever state it is, with exactly one final answer."""
--- a/tests/test_stalled_readers.py
+++ b/tests/test_stalled_readers.py
@@ -3,11 +3,13 @@
 import itertools
 import queue
 import select
+import signal
 import socket
 import types
 
 import pytest
 
+from corkdeal.net.gateway import KILL_DELAY, MAX_CLASS_DEADLINE
 from corkdeal.net.stalled_readers import CHECK_INTERVAL, CLIENT_STALL_TIMEOUT, StalledReaders
 
 from .net_world import WAIT_TIMEOUT, Conn, Program, served
@@ -101,3 +103,12 @@
         poll = select.poll()
         poll.register(client.sock, select.POLLHUP | select.POLLERR)
         self.assertTrue(poll.poll(WAIT_TIMEOUT * 1000))
+
+    # A client that did not read kept a gateway from ending, so the kill came before its last snapshot.
+    def test_a_client_that_never_reads_does_not_keep_a_gateway_from_ending_before_the_kill(self):
+        self.start(a={})
+        self.client_with_unread_replies()
+        self.process.send_signal(signal.SIGTERM)
+        code, elapsed = self.timed(lambda: self.process.wait(WAIT_TIMEOUT))
+        self.assertEqual(code, 0)
+        self.assertLess(elapsed, MAX_CLASS_DEADLINE + KILL_DELAY)
