Ignore signals while the interpreter ends, so that the exit code stays 0

Callers and operators: a gateway that had shut down gracefully, and then got SIGHUP or a second SIGTERM within its last tens of milliseconds, ended by that signal (-1, -15), as after a crash. No request was lost.

Cause: while it ends, the interpreter resets every Python signal handler to the default action.

Change: after the reactor has stopped, SIGHUP, SIGTERM and SIGINT are ignored; that is kept at the end.

The test sends the three signals from an object deleted after the reset: -1 before, 0 now.

--- a/corkdeal/net/__main__.py
+++ b/corkdeal/net/__main__.py
@@ -46,6 +46,9 @@
     gc.set_threshold(GC_THRESHOLD, 10, 50)
     gc.enable()
     reactor.run(installSignalHandlers=False)
+    # The interpreter resets handlers while it ends; the default action would then replace the exit code.
+    for signal_number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        signal.signal(signal_number, signal.SIG_IGN)
     return 0
 
 
--- a/tests/test_net_races.py
+++ b/tests/test_net_races.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -134,6 +135,41 @@
         self.assertIsNotNone(self.other.calls.get(timeout=WAIT_TIMEOUT))
 
 
+SIGNALS_DURING_FINALIZATION = """
+import os, runpy, signal, sys
+
+class SignalSender:
+    def __del__(self, kill=os.kill, pid=os.getpid(), numbers=(signal.SIGHUP, signal.SIGTERM, signal.SIGINT)):
+        for number in numbers:
+            kill(pid, number)
+
+sys.signal_sender = SignalSender()  # deleted after the interpreter has reset its signal handlers
+runpy.run_module("corkdeal.net", run_name="__main__", alter_sys=True)
+"""
+
+
+class SignalsAtTheEnd(ControlledProgram):
+    """Signals arrive while the interpreter ends, after the gateway has."""
+
+    build = ("-O",)
+
+    def run_program(self):
+        self.process = subprocess.Popen(
+            [sys.executable, *self.build, "-c", SIGNALS_DURING_FINALIZATION],
+            cwd=ROOT,
+            env=self.env,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+        )
+
+    # A reload or a second SIGTERM in that moment made the exit look like a crash.
+    def test_they_do_not_change_the_exit_code(self):
+        self.start(a={})
+        self.process.send_signal(signal.SIGTERM)
+        self.assertEqual(self.process.wait(WAIT_TIMEOUT), 0)
+
+
 class DeployCommand(unittest.TestCase):
     """The shell command with which deploy/balancer.toml starts the gateway."""
 
