Close every connection without a complete request before the kill

Callers and operators: a client that stopped in the middle of a command during a shutdown, or got an error late in it, kept the gateway from ending by itself; SIGKILL came before the subsystems had stopped. The same fault as that of clients that do not read, in its other forms.

Cause: the process ends once no client connection is open. One with part of a command is closed after 2.5 s and half a second more, one with an error after half a second, and both may begin at any time of the shutdown.

Change: at the last call, 0.15 s before the kill, all connections are closed but those with replies that are being written and those that may have complete requests unread, which are rejected when they are read.

On a fake clock two of the three tests fail on the program before; the third shows that unread requests still hold a connection open.

--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -381,6 +381,20 @@
         self.idle.discard(self)
         self.transport.connectionLost(CLOSED)
 
+    def close_before_kill(self) -> None:
+        """Close shortly before the process is killed, unless complete requests may be unread.
+
+        Those are rejected when they are read. The kill loses what a client has not taken yet, or not sent
+        completely, as well.
+        """
+        if vectored_write.pending(self.transport):
+            count("answer_not_taken")
+        elif self.parser.has_partial_frame:
+            count("client_connection_without_command")
+        elif not self.terminating and (self.pending_replies or self.has_unread_bytes()):
+            return
+        self.close_now()
+
     def drop(self) -> None:
         """Close at once to free the descriptor for another connection; no request is pending on this one.
 
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -314,15 +314,14 @@
     def answer_open_rpcs(self) -> None:
         """Answer all requests that are still open, because the process will be killed soon.
 
-        A client that does not read its replies can't take them before the kill either, and must not keep the
-        subsystems from stopping.
+        Clients that do not read their replies, or have sent part of a command, must not keep the subsystems
+        from stopping before the kill.
         """
         for rpc in list(self.rpcs.values()):
             count("unserved_at_last_call")
             self.abandon(rpc)
-        for connection in self.descriptors.stalled_readers.still_buffering():
-            count("answer_not_taken")
-            connection.close_now()
+        for connection in list(self.client_connections):
+            connection.close_before_kill()
 
     def abandon(self, rpc: RPC) -> None:
         """End an RPC in whatever state it is, with exactly one final answer."""
--- a/corkdeal/net/stalled_readers.py
+++ b/corkdeal/net/stalled_readers.py
@@ -28,9 +28,6 @@
     def close_unread(self) -> None:
         """Close, and discard what the client has not taken."""
 
-    def close_now(self) -> None:
-        """Close, and leave to the kernel what it has accepted."""
-
 
 @dataclass(slots=True)
 class Progress:
@@ -57,10 +54,6 @@
         """Stop watching a connection."""
         self.watched.pop(connection, None)
 
-    def still_buffering(self) -> list[Connection]:
-        """Return the connections whose transports buffer bytes."""
-        return [connection for connection in self.watched if connection.unsent_bytes()]
-
     def find_stalled(self) -> list[Connection]:
         """Return the connections whose clients took no byte for `CLIENT_STALL_TIMEOUT`."""
         now = self.now()
--- /dev/null
+++ b/tests/test_closing_before_kill.py
@@ -0,0 +1,72 @@
+"""Shortly before the kill a gateway closes the connections that would keep it from ending by itself."""
+
+import dataclasses
+
+import pytest
+
+from corkdeal.net.gateway import FINAL_ANSWER_MARGIN, KILL_DELAY
+
+from .net_fakes import connect
+from .test_idle_connections import PING, make_gateway
+
+PARTIAL_COMMAND = b"*5\r\n$8\r\nAPI.RE"
+DEADLINE = 1.0  # s, of all request classes
+TIME_TO_KILL = DEADLINE + KILL_DELAY  # s after SIGTERM
+LAST_CALL = TIME_TO_KILL - FINAL_ANSWER_MARGIN  # s after SIGTERM
+
+
+@pytest.fixture
+def draining():
+    """A gateway that drains, and its clock."""
+    gateway, reactor = make_gateway()
+    classes = tuple(dataclasses.replace(each, deadline=DEADLINE) for each in gateway.settings.classes)
+    gateway.settings = dataclasses.replace(gateway.settings, classes=classes)
+    gateway.watch.stop = lambda: None
+    reactor.running = True
+    reactor.stop = lambda: setattr(reactor, "running", False)
+    gateway.start()
+    return gateway, reactor
+
+
+def advance(reactor, seconds):
+    for _ in range(round(seconds / 0.05)):
+        reactor.advance(0.05)
+
+
+# A client that stopped in the middle of a command kept the process there until the kill.
+def test_a_client_that_sent_part_of_a_command_late_does_not_keep_the_gateway_from_ending(draining):
+    gateway, reactor = draining
+    connection = connect(gateway)
+    connection.dataReceived(PING)
+    gateway.drain()
+    advance(reactor, 0.4)
+    connection.dataReceived(PARTIAL_COMMAND)
+    advance(reactor, LAST_CALL - 0.5)
+    assert connection in gateway.client_connections
+    advance(reactor, TIME_TO_KILL - LAST_CALL + 0.1)
+    assert not gateway.client_connections
+    assert not reactor.running
+
+
+# An error reply late in the shutdown waits half a second for the client to read it.
+def test_a_client_that_gets_an_error_late_does_not_keep_the_gateway_from_ending(draining):
+    gateway, reactor = draining
+    connection = connect(gateway)
+    gateway.drain()
+    connection.dataReceived(PARTIAL_COMMAND)
+    advance(reactor, LAST_CALL - 0.2)
+    connection.dataReceived(b"\r\nnot RESP\r\n")
+    assert connection.terminating and connection in gateway.client_connections
+    advance(reactor, 0.35)
+    assert not gateway.client_connections
+    assert not reactor.running
+
+
+def test_a_connection_whose_requests_may_be_unread_is_left_open_until_they_are(draining):
+    gateway, reactor = draining
+    connection = connect(gateway)
+    connection.dataReceived(PING)
+    gateway.drain()
+    connection.transport.recv.side_effect = lambda *_: b"x"  # a request waits in the socket
+    advance(reactor, TIME_TO_KILL)
+    assert connection in gateway.client_connections
