Refuse a count of classes or plans beyond the number of settings

Cause: all settings of a plan have defaults, so parse_settings never met a missing one.

Change: a count over the number of settings given is an error that names it. One plan without any setting, which a test allows, still passes.

--- a/corkdeal/decisions/settings_parser.py
+++ b/corkdeal/decisions/settings_parser.py
@@ -226,9 +226,18 @@
 
 
 def parse_count(values: Mapping[str, str], path: str) -> int:
-    """Return the number of numbered records below a path; at least one."""
+    """Return the number of numbered records below a path; at least one, and no more than there are settings.
+
+    All settings of a record may have defaults, so a wrong count would make up any number of records.
+    """
     count_path = f"{path}.count"
-    return int(parse_number(values.get(count_path), count_path, default=None, minimum=1))
+    raw = values.get(count_path)
+    count = int(parse_number(raw, count_path, default=None, minimum=1))
+    if count > len(values):
+        raise SettingsError(
+            f"setting {count_path} is over the number of settings: {raw!r:.{MAX_QUOTED_CHARACTERS}}"
+        )
+    return count
 
 
 def parse_settings(values: Mapping[str, str]) -> Settings:
--- a/tests/decisions/test_settings_parser.py
+++ b/tests/decisions/test_settings_parser.py
@@ -54,6 +54,15 @@
         assert len({row.path for row in rows}) == len(rows)
 
 
+# A count of 10**9 kept the program in its start, making up plans, until memory ran out.
+@pytest.mark.parametrize("path", ["classes.count", "tiers_of_service.count"])
+def test_a_count_beyond_the_number_of_settings_is_an_error_at_once(path):
+    assert (
+        error_message({path: "1000000000"}) == f"setting {path} is over the number of settings: '1000000000'"
+    )
+    assert error_message({path: "8"}).startswith(f"setting {path} is over")
+
+
 def test_microseconds_become_seconds():
     settings = parsed({"rules.ask_every_us": "2500000", "granularity_us": "500"})
     assert (settings.poll_interval, settings.tick) == (2.5, 0.0005)
