--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,9 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN = $(VENV)/bin
+SOAK_SEEDS = 6 12 22 45
 
-.PHONY: build dev test lint run
+.PHONY: build dev test soak lint run
 
 # A gateway may find no writable disk at its start, and pip compiles nothing for -O: without this every
 # start compiles all of Twisted anew. By default bytecode goes by its source's time, which not every copy of
@@ -28,6 +29,10 @@
 test: dev
 	$(BIN)/python -m pytest -n 6 --dist loadscope
 
+# A few short runs with fixed seeds, one at a time (docs/soak.md).
+soak: build
+	for seeds in $(SOAK_SEEDS); do $(BIN)/python -m corkdeal experiment soak --seeds $$seeds --duration 12 || exit 1; done
+
 lint: dev
 	$(BIN)/ruff format --check corkdeal tests examples benchmarks
 	$(BIN)/ruff check corkdeal tests examples benchmarks
--- a/corkdeal/cli/experiment.py
+++ b/corkdeal/cli/experiment.py
@@ -200,3 +200,51 @@
         pathlib.Path(out).write_text(json.dumps(result, separators=(",", ":")))
         experiment.chart(result, str(pathlib.Path(out).with_suffix(".svg")), title or folder)
     click.echo(experiment.table(result))
+
+
+def parse_seed_range(context: click.Context, parameter: click.Parameter, value: str) -> list[int]:
+    """Parse `A-B` or one seed."""
+    first, _, last = value.partition("-")
+    try:
+        seeds = list(range(int(first), int(last or first) + 1))
+    except ValueError:
+        raise click.BadParameter(f"{value!r} is not a seed or a range A-B") from None
+    if not seeds:
+        raise click.BadParameter(f"{value!r} is an empty range")
+    return seeds
+
+
+@command.command("soak")
+@click.option(
+    "--seeds", callback=parse_seed_range, default="1-5", show_default=True, help="One seed, or a range A-B."
+)
+@click.option(
+    "--duration",
+    type=click.FloatRange(5, 3600),
+    default=30.0,
+    show_default=True,
+    help="Seconds of a run until its final shutdown.",
+)
+@click.option("--together", type=click.IntRange(1, 8), default=1, show_default=True, help="Concurrent runs.")
+@click.option(
+    "--out",
+    type=click.Path(file_okay=False),
+    default="found/soak",
+    show_default=True,
+    help="Folder for the logs of seeds that broke a rule.",
+)
+def soak(seeds: list[int], duration: float, together: int, out: str) -> None:
+    """Run gateways under drawn faults, signals and upgrades; exit code 1 if a rule was broken."""
+    from ..experiment.soak import run
+
+    results = run.run_seeds(seeds, duration, together, out)
+    for result in results:
+        click.echo(result.summary())
+        for violation in result.violations[:3]:
+            click.echo(f"  broken: {violation.rule}\n    " + "\n    ".join(violation.lines))
+        if result.violations:
+            again = f"corkdeal experiment soak --seeds {result.seed} --duration {duration:g}"
+            click.echo(f"  {len(result.violations)} in all; again with: {again}\n  logs: {result.folder}")
+    broken = sum(bool(result.violations) for result in results)
+    click.echo(f"{len(results)} seeds of {duration:g} s, {broken} with a broken rule")
+    raise SystemExit(1 if broken else 0)
--- a/corkdeal/standin/discovery.py
+++ b/corkdeal/standin/discovery.py
@@ -30,6 +30,7 @@
         self.members, self.revision = members, 1
         self.changed = asyncio.Condition()
         self.silent = False  # requests are accepted and not answered
+        self.responses_to_cut = 0  # the next responses whose connections are reset within the list
         self.listener: Any = None
         self.port = 0
 
@@ -83,14 +84,23 @@
                 if self.doors is not None:
                     await self.doors.unblocked[gateway].wait()
                 document = self.document(gateway)
-                body = json.dumps(document).encode()
-                writer.write(
-                    b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%b"
-                    % (len(body), body)
-                )
-                await writer.drain()
+                await self.send(document, writer)
                 self.on_list_sent(gateway, document["members"])
         except (asyncio.IncompleteReadError, ConnectionError, ValueError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
+
+    async def send(self, document: dict[str, Any], writer: asyncio.StreamWriter) -> None:
+        """Send a list; raises `ConnectionResetError` within one that is to be cut."""
+        body = json.dumps(document).encode()
+        head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % len(body)
+        response = head + body
+        is_cut = self.responses_to_cut > 0
+        if is_cut:
+            self.responses_to_cut -= 1
+            response = response[: len(response) // 2]
+        writer.write(response)
+        await writer.drain()
+        if is_cut:
+            raise ConnectionResetError
