Move the graceful shutdown out of net/gateway.py into a module of its own

Change: GracefulShutdown (net/shutdown.py) has the state and the steps from SIGTERM to the end; the gateway asks it. Behaviour, bounds and constants are as before; four tests name the moved attributes.

--- a/corkdeal/net/__main__.py
+++ b/corkdeal/net/__main__.py
@@ -37,7 +37,7 @@
     configure_logging(options, gateway_config.name)
     application = Application(reactor, gateway_config, options, path)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(signal_number, lambda *_: reactor.callFromThread(application.gateway.drain))
+        signal.signal(signal_number, lambda *_: reactor.callFromThread(application.gateway.shutdown.begin))
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(application.reload))
     if early_signals:  # the old file may have been read before them; the handler above has all later ones
         reactor.callFromThread(application.reload)
--- a/corkdeal/net/application.py
+++ b/corkdeal/net/application.py
@@ -69,7 +69,7 @@
         from ..persistence.snapshot_writer import SnapshotWriter
 
         self.snapshot_writer = SnapshotWriter(self.reactor, self.gateway, options.knowledge, counts)
-        self.gateway.subsystems_to_stop.append(self.snapshot_writer)
+        self.gateway.shutdown.subsystems_to_stop.append(self.snapshot_writer)
         return self.snapshot_writer
 
     def reload(self) -> None:
@@ -101,7 +101,7 @@
         if self.snapshot_writer and options.knowledge:
             self.snapshot_writer.reload(options.knowledge)
         elif self.snapshot_writer:
-            self.gateway.subsystems_to_stop.remove(self.snapshot_writer)
+            self.gateway.shutdown.subsystems_to_stop.remove(self.snapshot_writer)
             self.snapshot_writer.stop(lambda: None, is_clean=False)
             self.snapshot_writer = None
         else:
--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -81,7 +81,7 @@
         self.gateway.client_connections.add(self)
         self.closing = self.gateway.operators.standby  # on standby: close it once its requests are answered
         self.idle.update(self)
-        if self.gateway.lateness.is_overloaded and not self.gateway.draining:
+        if self.gateway.lateness.is_overloaded and not self.gateway.shutdown.is_draining:
             count("client_connection_shed")
             self.reply_and_drop(TOO_MANY_CLIENTS)
         elif not self.gateway.descriptors.admit_client_connection():
@@ -528,7 +528,7 @@
         self.stalled_readers.discard(self)
         self.gateway.budget.set_held(self, 0)
         self.abandon_pending()
-        self.gateway.client_connection_ended()
+        self.gateway.shutdown.end_if_idle()
 
     def abandon_pending(self) -> None:
         """Abandon all pending requests and streamed responses."""
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -60,6 +60,7 @@
 from .resp import encode_command, parse_load_report
 from .response_stream import ResponseStream
 from .rpc import RPC, CommandParser
+from .shutdown import GracefulShutdown
 from .timers import Timers
 
 if TYPE_CHECKING:
@@ -68,11 +69,6 @@
     from .upgrade import UpgradeHandover
 
 FIRST_LIST_TIMEOUT = 0.25  # s that a start waits for discovery's first list before it accepts clients
-DRAIN_ACCEPT_TIME = 0.5  # s after SIGTERM in which connections are accepted; new ones keep arriving for 0.4 s
-# SIGKILL follows SIGTERM after the longest deadline of the request classes (MAX_CLASS_DEADLINE s at most)
-# plus KILL_DELAY s.
-MAX_CLASS_DEADLINE, KILL_DELAY = 3.0, 0.7
-FINAL_ANSWER_MARGIN = 0.15  # s before SIGKILL by which each open request gets its final answer
 HEALTH_CHECK_TIMEOUT = 0.25  # s
 SWEEP_INTERVAL = 0.1  # s between sweeps of expired connections, and between attempts to listen
 REPORT_INTERVAL = 10.0  # s between log lines with the counters
@@ -117,15 +113,13 @@
         self.timers = Timers(reactor, self.now, self.timers_expired)
         self.port: Any = None
         self.listen_retry: Any = None  # the delayed call that retries listening
-        self.has_started = self.is_serving = self.draining = self.ending = False
-        self.answer_deadline = math.inf  # while draining: when all must be answered
+        self.has_started = self.is_serving = False
+        self.shutdown = GracefulShutdown(self)
         self.peer_port: Any = None
         self.peering_stopped = False  # whether the successor now communicates with the peers
         self.recovery: RecoveryService | None = None  # handles starts and stalls, if enabled
         self.membership: MembershipService | None = None  # tracks the tier's running gateways, if enabled
         self.upgrade_handover: UpgradeHandover | None = None  # only if the listening socket is inherited
-        # `stop(done)` of each is called after the last answer, before the process exits.
-        self.subsystems_to_stop: list[Any] = []
         self.logged_counters = ""
         self.logged_rejections = 0
         self.ops_port: Any = None
@@ -156,7 +150,7 @@
         """The clock of the decisions: wall time at the start plus monotonic time since."""
         return self.clock_offset + time.monotonic()
 
-    # Start and shutdown
+    # Start and reload
 
     def start(self) -> None:
         """Start with the configured endpoint list; accept clients after discovery's answer or a timeout."""
@@ -177,7 +171,7 @@
 
     def listen_for_operators(self) -> None:
         """Open the operations address, if configured; while it is in use, retry without delaying clients."""
-        if not self.config.ops or self.ending:
+        if not self.config.ops or self.shutdown.is_ending:
             return
         from . import ops
 
@@ -219,7 +213,7 @@
 
         An address in use is retried until it is free, since the process that has it may be shutting down.
         """
-        if not self.is_serving and not self.draining:
+        if not self.is_serving and not self.shutdown.is_draining:
             clients = client_connection.ClientConnectionFactory(self)
             try:
                 if self.config.inherited is not None:
@@ -267,7 +261,7 @@
 
     def reload(self) -> None:
         """Reload the configuration (SIGHUP). If it is valid, restart the watch; requests are not affected."""
-        if self.ending:
+        if self.shutdown.is_ending:
             return  # the watch has been stopped for good
         try:
             new_config = load_config()
@@ -288,41 +282,6 @@
             "reloaded", discovery=format_address(new_config.discovery), at_next_start=",".join(pending)
         )
 
-    def drain(self) -> None:
-        """Shut down: accept connections for a while, then close client connections as they become idle."""
-        if not self.draining:
-            self.draining = True
-            logs.event("draining", open=len(self.rpcs))
-            longest = min(MAX_CLASS_DEADLINE, max(c.deadline for c in self.settings.classes))
-            time_left = max(DRAIN_ACCEPT_TIME, longest + KILL_DELAY - FINAL_ANSWER_MARGIN)
-            self.answer_deadline = self.now() + time_left
-            self.reactor.callLater(DRAIN_ACCEPT_TIME, self.close)
-            self.reactor.callLater(time_left, self.answer_open_rpcs)
-
-    def close(self) -> None:
-        """Stop accepting connections; requests on accepted ones are still answered."""
-        if self.upgrade_handover is not None:
-            self.upgrade_handover.hand_over_remainder()
-        if self.port:
-            if self.config.inherited is None:  # the queue of an inherited socket is left to other processes
-                self.port.accept_queued()
-            self.port.stopListening()
-        for connection in list(self.client_connections):
-            connection.close_when_idle()
-        self.client_connection_ended()
-
-    def answer_open_rpcs(self) -> None:
-        """Answer all requests that are still open, because the process will be killed soon.
-
-        Clients that do not read their replies, or have sent part of a command, must not keep the subsystems
-        from stopping before the kill.
-        """
-        for rpc in list(self.rpcs.values()):
-            count("unserved_at_last_call")
-            self.abandon(rpc)
-        for connection in list(self.client_connections):
-            connection.close_before_kill()
-
     def abandon(self, rpc: RPC) -> None:
         """End an RPC in whatever state it is, with exactly one final answer."""
         rpc.has_client_left = True
@@ -334,25 +293,6 @@
                 rpc.attempt, Status.CANCELLED if rpc.attempt.is_fully_written else Status.ABANDONED
             )
 
-    def client_connection_ended(self) -> None:
-        """Begin the shutdown's last steps if the gateway is draining and nothing is open any more."""
-        if (
-            self.draining
-            and not (self.ending or self.client_connections or self.rpcs)
-            and self.reactor.running
-            and (not self.port or self.port.disconnecting or self.port.disconnected)
-        ):
-            self.ending = True
-            self.watch.stop()
-            self.stop_subsystems(self.subsystems_to_stop[:])
-
-    def stop_subsystems(self, remaining: list[Any]) -> None:
-        """Stop the given subsystems one after another, then the reactor."""
-        if remaining:
-            return remaining.pop().stop(lambda: self.stop_subsystems(remaining))
-        self.log_counters()
-        self.reactor.stop()
-
     def schedule_sweep(self) -> None:
         """Schedule the next sweep."""
         self.reactor.callLater(SWEEP_INTERVAL, self.sweep, self.now() + SWEEP_INTERVAL)
@@ -418,12 +358,12 @@
     def accept_rpc(self, rpc: RPC) -> None:
         """Accept an RPC that was received completely; it is rejected at once if its deadline has passed."""
         self.rpcs[rpc.request.id] = rpc
-        if self.draining and rpc.deadline > self.answer_deadline:
-            rpc.deadline = self.answer_deadline
+        if self.shutdown.is_draining and rpc.deadline > self.shutdown.answer_deadline:
+            rpc.deadline = self.shutdown.answer_deadline
             rpc.request = dataclasses.replace(
-                rpc.request, timeout=max(0.0, self.answer_deadline - self.now())
+                rpc.request, timeout=max(0.0, self.shutdown.answer_deadline - self.now())
             )
-        if (self.recovery is not None or self.draining) and rpc.request.timeout <= 0:
+        if (self.recovery is not None or self.shutdown.is_draining) and rpc.request.timeout <= 0:
             count("request_too_old")
             return self.reject(Reject(rpc.request.id, 0.0))
         self.handle_event(rpc.request)
--- a/corkdeal/net/membership.py
+++ b/corkdeal/net/membership.py
@@ -29,7 +29,7 @@
 
     def start(self) -> None:
         """Start logging events, and register for the shutdown of the process."""
-        self.gateway.subsystems_to_stop.append(self)
+        self.gateway.shutdown.subsystems_to_stop.append(self)
         self.poll()
 
     def poll(self) -> None:
--- a/corkdeal/net/operators.py
+++ b/corkdeal/net/operators.py
@@ -23,13 +23,13 @@
     @property
     def is_ready(self) -> bool:
         """Whether new clients should use this gateway: it is serving, neither draining nor on standby."""
-        return self.gateway.is_serving and not (self.gateway.draining or self.standby)
+        return self.gateway.is_serving and not (self.gateway.shutdown.is_draining or self.standby)
 
     def state(self) -> str:
         """The gateway's state as one word."""
         return (
             "ending"
-            if self.gateway.draining
+            if self.gateway.shutdown.is_draining
             else "standby"
             if self.standby
             else "serving"
--- a/tests/membership/test_members.py
+++ b/tests/membership/test_members.py
@@ -319,14 +319,18 @@
     tier.run(2.0, tier.offered_units)
     decisions, sent, stopped = tier.gateways[0], [], []
     gateway = SimpleNamespace(
-        decisions=decisions, upgrade_handover=upgrade_handover, subsystems_to_stop=[], now=lambda: tier.now
+        decisions=decisions,
+        upgrade_handover=upgrade_handover,
+        shutdown=SimpleNamespace(subsystems_to_stop=[]),
+        now=lambda: tier.now,
     )
     gateway.send_to_peer = sent.append
     membership = MembershipService(FakeReactor(), gateway)
     membership.start()
-    assert decisions.membership.shares.has_delegated_share is is_delegated and gateway.subsystems_to_stop == [
-        membership
-    ]
+    assert (
+        decisions.membership.shares.has_delegated_share is is_delegated
+        and gateway.shutdown.subsystems_to_stop == [membership]
+    )
     assert not is_delegated or decisions.membership.shares.own_fraction(decisions.accounts[7]) == 1.0
     membership.stop(lambda: stopped.append(True))
     flags = {
--- a/tests/test_closing_before_kill.py
+++ b/tests/test_closing_before_kill.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from corkdeal.net.gateway import FINAL_ANSWER_MARGIN, KILL_DELAY
+from corkdeal.net.shutdown import FINAL_ANSWER_MARGIN, KILL_DELAY
 
 from .net_fakes import connect
 from .test_idle_connections import PING, make_gateway
@@ -38,7 +38,7 @@
     gateway, reactor = draining
     connection = connect(gateway)
     connection.dataReceived(PING)
-    gateway.drain()
+    gateway.shutdown.begin()
     advance(reactor, 0.4)
     connection.dataReceived(PARTIAL_COMMAND)
     advance(reactor, LAST_CALL - 0.5)
@@ -52,7 +52,7 @@
 def test_a_client_that_gets_an_error_late_does_not_keep_the_gateway_from_ending(draining):
     gateway, reactor = draining
     connection = connect(gateway)
-    gateway.drain()
+    gateway.shutdown.begin()
     connection.dataReceived(PARTIAL_COMMAND)
     advance(reactor, LAST_CALL - 0.2)
     connection.dataReceived(b"\r\nnot RESP\r\n")
@@ -66,7 +66,7 @@
     gateway, reactor = draining
     connection = connect(gateway)
     connection.dataReceived(PING)
-    gateway.drain()
+    gateway.shutdown.begin()
     connection.transport.recv.side_effect = lambda *_: b"x"  # a request waits in the socket
     advance(reactor, TIME_TO_KILL)
     assert connection in gateway.client_connections
--- a/tests/test_loop_lateness.py
+++ b/tests/test_loop_lateness.py
@@ -50,7 +50,7 @@
     shed_connection = connect(gateway)
     assert shed_connection.transport.value() == b"-ERR max number of clients reached\r\n"
     assert gateway.client_connections == {connection}
-    gateway.draining = True  # connections that the kernel has accepted must be served then
+    gateway.shutdown.is_draining = True  # connections that the kernel has accepted must be served then
     assert connect(gateway) in gateway.client_connections
 
 
--- a/tests/test_stalled_readers.py
+++ b/tests/test_stalled_readers.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from corkdeal.net.gateway import KILL_DELAY, MAX_CLASS_DEADLINE
+from corkdeal.net.shutdown import KILL_DELAY, MAX_CLASS_DEADLINE
 from corkdeal.net.stalled_readers import CHECK_INTERVAL, CLIENT_STALL_TIMEOUT, StalledReaders
 
 from .net_world import WAIT_TIMEOUT, Conn, Program, served
