Print each seed of the soak when it has ended

Cause: fifty seeds of 30 s printed nothing for ten minutes. Change: run_seeds yields each result; lines and exit code are as before.

--- a/corkdeal/cli/experiment.py
+++ b/corkdeal/cli/experiment.py
@@ -237,14 +237,14 @@
     """Run gateways under drawn faults, signals and upgrades; exit code 1 if a rule was broken."""
     from ..experiment.soak import run
 
-    results = run.run_seeds(seeds, duration, together, out)
-    for result in results:
+    broken = 0
+    for result in run.run_seeds(seeds, duration, together, out):
         click.echo(result.summary())
         for violation in result.violations[:3]:
             click.echo(f"  broken: {violation.rule}\n    " + "\n    ".join(violation.lines))
         if result.violations:
+            broken += 1
             again = f"corkdeal experiment soak --seeds {result.seed} --duration {duration:g}"
             click.echo(f"  {len(result.violations)} in all; again with: {again}\n  logs: {result.folder}")
-    broken = sum(bool(result.violations) for result in results)
-    click.echo(f"{len(results)} seeds of {duration:g} s, {broken} with a broken rule")
+    click.echo(f"{len(seeds)} seeds of {duration:g} s, {broken} with a broken rule")
     raise SystemExit(1 if broken else 0)
--- a/corkdeal/experiment/soak/run.py
+++ b/corkdeal/experiment/soak/run.py
@@ -10,6 +10,7 @@
 import shutil
 import tempfile
 import time
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -157,8 +158,8 @@
     )
 
 
-def run_seeds(seeds: list[int], duration: float, together: int, out: str) -> list[SoakResult]:
-    """Run seeds, each in a process of its own, `together` at a time; results in the order of the seeds."""
+def run_seeds(seeds: list[int], duration: float, together: int, out: str) -> Iterator[SoakResult]:
+    """Run seeds, each in a process of its own, `together` at a time; yields results in their order."""
     context = multiprocessing.get_context("spawn")
     with concurrent.futures.ProcessPoolExecutor(together, mp_context=context, max_tasks_per_child=1) as pool:
-        return list(pool.map(run_seed, seeds, [duration] * len(seeds), [out] * len(seeds)))
+        yield from pool.map(run_seed, seeds, [duration] * len(seeds), [out] * len(seeds))
