Judge the end of a process in the soak only if the machine ran it, and end queued fake requests

A fake backend that crashes also cancels the requests in its queue, whose tasks were dropped with a warning.

--- a/corkdeal/experiment/soak/rules.py
+++ b/corkdeal/experiment/soak/rules.py
@@ -17,10 +17,19 @@
     check_quotas,
 )
 from .plan import DEDUPLICATION_WINDOW, KILL_DELAY, LONGEST_DEADLINE
-from .records import Effect, ProcessRecord, SoakAttempt, SoakConnection, SoakRecord, SoakRequest
+from .records import (
+    Effect,
+    ProcessRecord,
+    SoakAttempt,
+    SoakConnection,
+    SoakRecord,
+    SoakRequest,
+    samples_around,
+)
 
 ATTEMPT_SLACK = 0.15  # s past its client's timeout within which an attempt may begin
 DEPARTURE_GRACE = 0.1  # s after a client has left within which an attempt may begin
+MAX_HOLD_UP = 0.15  # s for which a gateway may be held up by its machine and still has to keep all bounds
 SERVICE_SLACK = 0.1  # s by which a fake service may be late with a list, as in the tier's check
 
 
@@ -208,6 +217,8 @@
             violations.append(Violation("ends before the kill", (f"{text}: still there",)))
         elif process.terminated_at is None:
             violations.append(Violation("ends before the kill", (f"{text}: ended by itself",)))
+        elif process.killed_at is not None and was_held_up(process, process.killed_at):
+            continue  # the machine, not the process, took the time
         elif process.killed_at is not None or process.exit_code != 0:
             allowed = LONGEST_DEADLINE + KILL_DELAY
             violations.append(
@@ -216,6 +227,11 @@
     return violations
 
 
+def was_held_up(process: ProcessRecord, at: float) -> bool:
+    """Whether the machine kept a process waiting for a processor around a moment for longer than allowed."""
+    return sum(wait for _, wait in samples_around(process.waits, at)) > MAX_HOLD_UP
+
+
 def check_logs(processes: Iterable[ProcessRecord]) -> list[Violation]:
     """No log has a traceback, a failure of the decisions or a broken invariant."""
     return [
--- a/corkdeal/standin/backends.py
+++ b/corkdeal/standin/backends.py
@@ -172,6 +172,8 @@
             self.doors.close()
         for writer in list(self.connections):
             writer.transport.abort()
+        for queued in self.queue:
+            queued.start.cancel()  # ends the task that waits for it
         self.queue.clear()
         self.busy_cores = 0
 
--- a/tests/soak/test_rules.py
+++ b/tests/soak/test_rules.py
@@ -210,6 +210,14 @@
     assert broken_rules(record) == {"ends before the kill"}
 
 
+def test_a_process_that_the_machine_did_not_run_in_time_may_be_killed(record):
+    record.processes[0].killed_at, record.processes[0].exit_code = 9.0, -9
+    record.processes[0].waits = [(8.8, 0.08), (8.9, 0.06)]  # up to 0.15 s it has to cope with
+    assert broken_rules(record) == {"ends before the kill"}
+    record.processes[0].waits = [(8.8, 0.08), (8.9, 0.08)]
+    assert broken_rules(record) == set()
+
+
 def test_a_traceback_in_the_log(record):
     record.processes[0].faults_in_log = ["Traceback (most recent call last):"]
     assert broken_rules(record) == {"no fault in the log"}
