Count the kernel's queue before a long answer is taken for one that nobody reads

Callers: a client that read a 4 MB answer at 80 kB/s was reset after some ten seconds, in the middle of it.

Cause: every 5 s ResponseStream.check_progress compared the bytes in the transport's buffer. The socket's buffer, 2.8 MB here, accepts more only once a third of it is free, so at that rate the transport's buffer stays the same for over ten seconds although the client reads.

--- a/corkdeal/net/response_stream.py
+++ b/corkdeal/net/response_stream.py
@@ -42,7 +42,7 @@
         self.budget = conn.pool.budget
         self.paused = False
         self.progressed_at = conn.pool.now()  # when the backend last sent bytes, or reading from it resumed
-        self.last_unsent = -1  # bytes not yet taken by the client at the last check; -1 for none
+        self.last_untaken = -1  # bytes not yet taken by the client at the last check; -1 for none
 
     def start(self) -> None:
         """Start to forward the reply, or wait with the backend paused until the memory budget allows it."""
@@ -121,7 +121,7 @@
     def pause(self) -> None:
         """Pause reading from the backend."""
         if not self.paused and not self.conn.ended:
-            self.paused, self.last_unsent = True, -1
+            self.paused, self.last_untaken = True, -1
             self.conn.transport.pauseProducing()
 
     def resume(self) -> None:
@@ -144,10 +144,10 @@
                 count("answer_stalled")
                 return self.conn.fail_malformed(self.attempt)
         elif self.rpc.client_connection.is_next(self.rpc):
-            if (unsent := self.rpc.client_connection.unsent_bytes()) == self.last_unsent:
+            if (untaken := self.rpc.client_connection.untaken_bytes()) == self.last_untaken:
                 count("answer_not_taken")
                 return self.rpc.client_connection.abort_response()
-            self.last_unsent = unsent
+            self.last_untaken = untaken
         self.timer = self.conn.pool.reactor.callLater(wait, self.check_progress)
 
     def finish(self) -> None:
