--- a/corkdeal/experiment/soak/run.py
+++ b/corkdeal/experiment/soak/run.py
@@ -161,5 +161,7 @@
 def run_seeds(seeds: list[int], duration: float, together: int, out: str) -> Iterator[SoakResult]:
     """Run seeds, each in a process of its own, `together` at a time; yields results in their order."""
     context = multiprocessing.get_context("spawn")
-    with concurrent.futures.ProcessPoolExecutor(together, mp_context=context, max_tasks_per_child=1) as pool:
+    with concurrent.futures.ProcessPoolExecutor(
+        together, mp_context=context, initializer=fleet.die_with_parent, max_tasks_per_child=1
+    ) as pool:
         yield from pool.map(run_seed, seeds, [duration] * len(seeds), [out] * len(seeds))
