--- a/review/standins/common.py
+++ b/review/standins/common.py
@@ -146,10 +146,19 @@
 class Gateway:
     """One gateway process, started as the platform starts it, with its configuration and log files."""
 
-    def __init__(self, folder: pathlib.Path, name: str, config: dict[str, Any]) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        name: str,
+        config: dict[str, Any],
+        listener: socket.socket | None = None,
+        temporary: pathlib.Path | None = None,
+    ) -> None:
+        """`listener` is the clients' socket if it is inherited; `temporary` is an older process's `$TMPDIR`."""
         self.folder = folder / name
         self.folder.mkdir()
-        (self.folder / "tmp").mkdir()
+        self.listener, self.temporary = listener, temporary or self.folder / "tmp"
+        self.temporary.mkdir(exist_ok=True)
         self.name, self.config, self.port = name, config, int(config["listen"].rpartition(":")[2])
         self.process: subprocess.Popen[bytes] | None = None
         self.pid = 0
@@ -165,8 +174,11 @@
             "RELAY_LISTEN": self.config["listen"],
             "RELAY_DISCOVERY": self.config["discovery"],
             "RELAY_CONFIG": str(path),
-            "TMPDIR": str(self.folder / "tmp"),
+            "TMPDIR": str(self.temporary),
         }
+        inherited = () if self.listener is None else (self.listener.fileno(),)
+        if inherited:
+            environment["RELAY_INHERITED_FD"] = str(inherited[0])
         with open(self.folder / "log.txt", "ab") as log:
             self.process = subprocess.Popen(
                 ["/bin/sh", "-c", run],
@@ -176,6 +188,7 @@
                 stdout=log,
                 stderr=log,
                 start_new_session=True,
+                pass_fds=inherited,
             )
         self.pid = self.process.pid  # `run` ends in an exec, so this is the gateway
 
