Let a slow client take what was answered before its connection ends

What callers saw: a client that reads slowly lost whole answers when the gateway ended its connection after them, because a later long answer broke off or a command was malformed: "connection reset by peer" within answers that had been written before.

Cause: 0.5 s after the last write the connection was aborted, and one that ended in the middle of an answer was closed at once, with input unread. Both send a reset, which discards what the client has not taken from the buffers.

Change: the FIN goes out behind what is written, and the connection is closed once the client has taken all of it (the kernel's send queue counts), or no byte for 5 s, checked every 0.5 s. A client that takes all at once is closed after 0.5 s, as before.

--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -20,6 +20,7 @@
 from .resp import Frame, MalformedError, Parser
 from .response_stream import ResponseStream
 from .rpc import READ, RPC, WRITE, BadRequestError
+from .stalled_readers import CLIENT_STALL_TIMEOUT
 from .tcp_state import PeerState, peer_state, seconds_since_fin, unacknowledged_bytes
 
 MAX_PENDING_REPLIES = 256  # unanswered commands at which the gateway stops reading from a client connection
@@ -31,7 +32,7 @@
 # process between the check and the write.
 HALF_CLOSE_GRACE = 0.05  # s
 KERNEL_TICK = 0.01  # s; the longest tick of any kernel configuration
-LINGER = 0.5  # s that a rejected connection stays open, unread, so that the client can read the error
+LINGER = 0.5  # s between checks whether the client has taken all, so that the connection can be closed
 OK = b"+OK\r\n"
 TOO_MANY_CLIENTS = b"-ERR max number of clients reached\r\n"
 CLOSED, ABORTED = Failure(ConnectionDone()), Failure(ConnectionAborted())
@@ -282,11 +283,7 @@
             if self.terminating:
                 if self.is_shut_down:
                     return
-                self.is_shut_down = True
-                self.transport.unregisterProducer()
-                self.transport.loseWriteConnection()
-                self.transport.pauseProducing()  # reading 60 MB to discard it costs more than the connection
-                self.gateway.reactor.callLater(LINGER, self.transport.abortConnection)
+                self.linger()
             elif self.half_closed:
                 self.close_when_written()
             elif self.closing:
@@ -395,11 +392,32 @@
         Nothing may be written after it: the client would read that as the rest of the response.
         """
         count("answer_cut_off")
-        self.terminating = self.is_shut_down = True
+        self.terminating = True
         self.idle.discard(self)
         self.abandon_pending()
-        self.close_when_written()
-        self.gateway.reactor.callLater(LINGER, self.transport.abortConnection)
+        self.linger()
+
+    def linger(self) -> None:
+        """Send the FIN behind what is written, and close once the client has taken all of it.
+
+        Closing at once, with input unread, would send a reset, which discards what the client has not taken.
+        """
+        self.is_shut_down = True
+        self.transport.unregisterProducer()
+        self.transport.loseWriteConnection()
+        self.transport.pauseProducing()  # reading 60 MB to discard it costs more than the connection
+        self.gateway.reactor.callLater(LINGER, self.end_lingering, 0, 0.0)
+
+    def end_lingering(self, previous_untaken: int, stalled_time: float) -> None:
+        """Close if the client has taken all, or has taken no byte for `CLIENT_STALL_TIMEOUT`."""
+        if self not in self.gateway.client_connections:
+            return
+        untaken = self.untaken_bytes()
+        stalled_time = stalled_time + LINGER if untaken == previous_untaken else 0.0
+        if not untaken or stalled_time >= CLIENT_STALL_TIMEOUT:
+            self.transport.abortConnection()
+        else:
+            self.gateway.reactor.callLater(LINGER, self.end_lingering, untaken, stalled_time)
 
     def close_when_written(self) -> None:
         """Close once all is written; a transport with a paused producer would never close."""
