Keep a long answer that its client can not take yet from being final

What callers saw: a connection that ended with no byte of a long answer, where the answer before it still waited for the client to read. The request could have been answered as failed, or retried.

Cause: such an answer was released, and so final, as soon as it was next, also while the transport had bytes of the answer before it.

Change: it is released once the transport is empty; until then it is collected like one with a request behind it.

--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -247,9 +247,15 @@
             self.flush()
 
     def may_stream(self, rpc: RPC) -> bool:
-        """Return whether a reply that is not whole may be written: it is next, and none is behind it."""
+        """Return whether a reply that is not whole may be written.
+
+        It has to be next, with none behind it, and the client has to take it: otherwise it is not final yet.
+        """
         return (
-            self.is_next(rpc) and len(self.pending_replies) == 1 and self.body is None and not self.is_parsing
+            self.is_next(rpc)
+            and len(self.pending_replies) == 1
+            and self.body is None
+            and not (self.is_parsing or vectored_write.pending(self.transport))
         )
 
     def is_next(self, rpc: RPC) -> bool:
@@ -304,6 +310,7 @@
                 if not response_stream.is_released:
                     response_stream.handle_turn()
                     if pending.response_stream is response_stream and not response_stream.is_released:
+                        self.wait_for_client()
                         break
                     continue
                 if not self.write_stream(response_stream):
@@ -317,16 +324,21 @@
         self.set_streaming(not response_stream.ended)
         while not vectored_write.pending(self.transport) and (batch := response_stream.take()):
             self.write(batch)
-        unsent = self.unsent_bytes()
-        if not unsent:
+        if not self.wait_for_client():
             response_stream.resume()
-        elif not self.transport.producerPaused:
+        if (unsent := self.unsent_bytes()) != self.held_bytes:
+            self.gateway.budget.set_held(self, unsent)
+        return response_stream.ended and not response_stream.buffer.size
+
+    def wait_for_client(self) -> bool:
+        """Pause until the client has taken all that is written; return False if it has already."""
+        if not vectored_write.pending(self.transport):
+            return False
+        if not self.transport.producerPaused:
             # Twisted pauses at 64 KiB only; with this set, it calls resumeProducing once its buffer is empty
             self.transport.producerPaused = True
             self.pauseProducing()
-        if unsent != self.held_bytes:
-            self.gateway.budget.set_held(self, unsent)
-        return response_stream.ended and not response_stream.buffer.size
+        return True
 
     def set_streaming(self, is_streaming: bool) -> None:
         """Pause reading while a reply that is not whole is written: requests behind it could be lost."""
@@ -355,7 +367,7 @@
         self.update_reading()
         if self.held_bytes:
             self.gateway.budget.set_held(self, 0)
-        if self.written_stream() is not None:
+        if self.pending_replies and self.pending_replies[0].response_stream is not None:
             self.flush()
 
     def written_stream(self) -> ResponseStream | None:
--- a/corkdeal/net/response_stream.py
+++ b/corkdeal/net/response_stream.py
@@ -65,9 +65,11 @@
             count("answer_for_nobody")
             return self.conn.pool.abandon(self.attempt, Status.CANCELLED)
         self.timer = self.conn.pool.reactor.callLater(BACKEND_STALL_TIMEOUT, self.check_progress)
-        if self.turn_at is None and self.is_next():
+        if self.is_next():
             self.turn_at = -math.inf
-        self.proceed()
+            self.rpc.client_connection.flush()
+        else:
+            self.proceed()
 
     def is_next(self) -> bool:
         """Return whether all earlier replies of the client connection have been written."""
--- a/tests/test_requests_behind_long_answers.py
+++ b/tests/test_requests_behind_long_answers.py
@@ -164,6 +164,32 @@
     assert len(harness.reactor.tcpClients) == 1 and not harness.gateway.rpcs
 
 
+# Its connection was closed, though the client had taken no byte of it and could be told.
+def test_a_long_answer_that_breaks_off_before_its_client_can_take_any_of_it_is_answered_as_failed():
+    harness = Pipeline()
+    first, _ = harness.ask_once(1)
+    conn, _ = harness.ask_once(2)
+    harness.client.free_space = 1000
+    first.dataReceived(served(b"a" * 5000))
+    conn.dataReceived(HEAD + VALUE[:HALF])
+    conn.connectionLost()
+    harness.client.take()
+    assert harness.taken() == bulk(5000, b"a") + FAILED and not harness.client.closed
+
+
+def test_a_long_answer_is_forwarded_once_its_client_has_taken_what_is_before_it():
+    harness = Pipeline()
+    first, _ = harness.ask_once(1)
+    conn, _ = harness.ask_once(2)
+    harness.client.free_space = 1000
+    first.dataReceived(served(b"a" * 5000))
+    conn.dataReceived(HEAD + VALUE[:HALF])
+    harness.client.take()
+    assert harness.taken() == bulk(5000, b"a") + VALUE[:HALF]
+    conn.dataReceived(VALUE[HALF:] + TAIL)
+    assert harness.taken() == bulk(5000, b"a") + VALUE and not harness.client_connection.paused
+
+
 def test_a_part_of_a_command_that_had_to_wait_for_a_long_answer_gets_its_time_afterwards():
     harness = Pipeline()
     conn, _ = harness.ask_once(1)
