Leave a closed client connection alone when its long answer is abandoned

Cause: a client connection that closes abandons the attempt of its answer, whose backend connection closes, and that aborted the client connection again, as for an answer that its backend breaks off.

Change: an answer whose client connection is closed is detached, and aborts nothing.

--- a/corkdeal/net/response_stream.py
+++ b/corkdeal/net/response_stream.py
@@ -47,6 +47,7 @@
         self.size = items[-1].size  # bytes of the large values announced so far
         self.ended = False  # whether the whole value was received
         self.is_released = False  # whether it may be written to the client, which makes the attempt final
+        self.is_detached = False  # whether the client connection has all of it, or needs it no more
         self.is_collecting = False  # whether memory is reserved for all that was announced
         self.has_waited = False  # whether its backend was paused before the release
         self.is_overdue = False  # whether the deadline passed before the release
@@ -264,6 +265,7 @@
 
     def detach(self) -> None:
         """Free what is held, and break the reference cycle, so that the last piece is freed at once."""
+        self.is_detached = True
         self.buffer.clear()
         self.budget.stop_waiting(self)
         self.budget.answers.discard(self)
@@ -275,7 +277,7 @@
         self.finish()
         if not self.is_released:
             self.detach()
-        elif not self.ended:
+        elif not (self.ended or self.is_detached):
             self.rpc.client_connection.abort_response()
 
     def handle_client_close(self) -> None:
--- a/tests/test_requests_behind_long_answers.py
+++ b/tests/test_requests_behind_long_answers.py
@@ -3,6 +3,7 @@
 import itertools
 import signal
 import threading
+import unittest.mock
 
 import pytest
 from hypothesis import given
@@ -242,6 +243,18 @@
     assert Status.CANCELLED in harness.outcomes() or is_whole
 
 
+# Abandoning the attempt aborted the closed connection once more: at the end of a shutdown that raised an
+# exception, and the process did not end before the kill.
+def test_a_client_connection_that_is_closed_within_a_long_answer_is_not_closed_again():
+    harness = Pipeline()
+    conn, _ = harness.ask_once(1)
+    conn.dataReceived(HEAD + VALUE[:HALF])
+    harness.client.loseWriteConnection = unittest.mock.Mock()
+    harness.client_connection.connectionLost()
+    assert conn.ended and harness.outcomes() == [Status.CANCELLED]
+    assert not harness.client.loseWriteConnection.called and not invariants.counts["answer_cut_off"]
+
+
 def test_a_collected_answer_reaches_a_client_that_takes_it_slowly_and_frees_memory_meanwhile():
     harness = Pipeline()
     conn, _ = harness.ask_once(1)
