Have the soak draw long values, and backends that break off within them

Need: the soak drew no values over 64 KiB, so it saw nothing of what happens to requests behind a long answer.

Checked: every byte of a long value; one that has begun is whole unless its backend broke off or ended; then nothing that was read is pending behind it. Long values come from a generator of their own, so the other draws of a seed are as before.

--- a/corkdeal/experiment/soak/clients.py
+++ b/corkdeal/experiment/soak/clients.py
@@ -9,10 +9,13 @@
 import struct
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
+from ...net.resp import MAX_INLINE_VALUE
 from .plan import Behaviour, Plan
 from .processes import Gateways, SoakGateway
 from .records import Effect, SoakConnection, SoakRecord, SoakRequest
+from .services import is_filled
 
 RECONNECT_PAUSE = 0.05  # s after a refused connection
 REJECTION_PAUSE = 0.02  # s after a rejection
@@ -21,6 +24,8 @@
 SHORT_TIMEOUT_SHARE = 0.2
 CONNECTION_BATCHES = (1, 60)  # how often a client sends on one connection before it closes
 STAY_TIME = 2.8  # s for which a client that stopped midway stays; the gateway ends it within 3 s
+MAX_LONG_BODY = 200_000  # bytes
+RECORDED_BYTES = 100  # of a long answer
 CROWD_PING_INTERVAL = 0.8  # s
 RESET = struct.pack("@ii", 1, 0)  # SO_LINGER that makes a close reset the connection
 
@@ -56,6 +61,16 @@
     """The gateway sent something that is no answer."""
 
 
+def shorten(answer: bytes, request: SoakRequest) -> bytes:
+    """Return the beginning of an answer; one whose value is not as it was made does not name its request."""
+    if len(answer) <= MAX_INLINE_VALUE:
+        return answer
+    first_line, _, value = answer.partition(b"\r\n")
+    if is_filled(value[:-2], b"%016x" % request.id) and value.endswith(b"\r\n"):
+        return answer[:RECORDED_BYTES]
+    return first_line + b" spoilt"
+
+
 class Connection:
     """One connection of a client, and its record."""
 
@@ -64,12 +79,17 @@
     ) -> None:
         self.record, self.reader, self.writer = record, reader, writer
 
-    async def read_answer(self) -> bytes:
-        """Read one answer; raises `EOFError` if the connection ends before it."""
+    async def read_answer(self, on_long_answer: Callable[[], None] = lambda: None) -> bytes:
+        """Read one answer; raises `EOFError` if the connection ends before it.
+
+        `on_long_answer` is called at the first line of a long one.
+        """
         try:
             first_line = await self.reader.readuntil(b"\r\n")
             if first_line[:1] == b"$":
                 size = int(first_line[1:-2])
+                if size > MAX_INLINE_VALUE:
+                    on_long_answer()
                 return first_line + (await self.reader.readexactly(size + 2))
         except (asyncio.IncompleteReadError, ConnectionError) as error:
             raise EOFError from error
@@ -231,10 +251,16 @@
             b"%016x" % customer,
             b"%016x" % self.last_id,
             parameters.encode(),
-            *([] if is_read else [b"body"]),
+            *([] if is_read else [self.make_body(rng)]),
         ]
         return b"*%d\r\n%b" % (len(arguments), b"".join(b"$%d\r\n%b\r\n" % (len(a), a) for a in arguments))
 
+    def make_body(self, rng: random.Random) -> bytes:
+        """Return the value of a request, which may be a long one."""
+        if rng.random() >= self.plan.long_values.requests:
+            return b"body"
+        return bytes(rng.randint(MAX_INLINE_VALUE + 1, MAX_LONG_BODY))
+
     async def read_answers(self, connection: Connection) -> bool:
         """Read the answers of all open requests; return whether one was rejected."""
         was_rejected = False
@@ -243,14 +269,18 @@
                 continue
             try:
                 async with asyncio.timeout(UNANSWERED_TIMEOUT):
-                    answer = await connection.read_answer()
+                    answer = await connection.read_answer(partial(self.record_begin, request))
             except TimeoutError:
                 connection.record.closed_at = self.clock()  # counts as unanswered while open
                 raise EOFError from None
-            request.answered_at, request.answer = self.clock(), answer
+            request.answered_at, request.answer = self.clock(), shorten(answer, request)
             was_rejected |= answer.startswith(b"-BUSY")
         return was_rejected
 
+    def record_begin(self, request: SoakRequest) -> None:
+        """Record that a long answer has begun."""
+        request.begun_at = self.clock()
+
     async def read_to_end(self, connection: Connection, seconds: float) -> None:
         """Read until the gateway closes; an answer that no request waits for is recorded."""
         with contextlib.suppress(TimeoutError):
--- a/corkdeal/experiment/soak/plan.py
+++ b/corkdeal/experiment/soak/plan.py
@@ -76,6 +76,15 @@
     refuse: float
 
 
+@dataclass(frozen=True, slots=True)
+class LongValues:
+    """Shares of long values, over 64 KiB, and of the long answers that their backend breaks off."""
+
+    answers: float
+    requests: float
+    broken_answers: float
+
+
 @dataclass(frozen=True, slots=True)
 class Plan:
     """One soak run."""
@@ -91,6 +100,7 @@
     sockets: int  # `limits.sockets` of the gateways
     backend_count: int
     faults: BackendFaults
+    long_values: LongValues
     behaviours: tuple[Behaviour, ...]  # one is drawn for each connection
     gateway_events: tuple[PlannedGatewayEvent, ...]
     service_events: tuple[PlannedServiceEvent, ...]
@@ -116,6 +126,7 @@
         sockets=256 if crowd else 1024,
         backend_count=rng.randint(3, 8),
         faults=draw_faults(rng),
+        long_values=draw_long_values(random.Random(f"soak long values {seed}")),
         behaviours=(Behaviour.NORMAL,) * 6 + tuple(odd_behaviours),
         gateway_events=draw_gateway_events(rng, duration, gateway_count, is_inherited),
         service_events=draw_service_events(rng, duration),
@@ -134,6 +145,17 @@
     )
 
 
+def draw_long_values(rng: random.Random) -> LongValues:
+    """Draw the shares of long values; about a third of the runs have none."""
+    if rng.random() < 1 / 3:
+        return LongValues(0.0, 0.0, 0.0)
+    return LongValues(
+        answers=rng.uniform(0.02, 0.3),
+        requests=rng.choice((0.0, rng.uniform(0.0, 0.05))),
+        broken_answers=rng.choice((0.0, 0.05, 0.3)),
+    )
+
+
 def draw_gateway_events(
     rng: random.Random, duration: float, gateway_count: int, is_inherited: bool
 ) -> tuple[PlannedGatewayEvent, ...]:
--- a/corkdeal/experiment/soak/records.py
+++ b/corkdeal/experiment/soak/records.py
@@ -29,12 +29,15 @@
     effect: Effect
     sent_at: float
     timeout: float  # s
-    answered_at: float | None = None
-    answer: bytes = b""  # the first line, and the value of a bulk string
+    answered_at: float | None = None  # its last byte
+    answer: bytes = b""  # the first line, and the beginning of the value of a bulk string
+    begun_at: float | None = None  # the first bytes of a long answer
 
     def __str__(self) -> str:
         """One line of the history."""
         state = f"{self.answer[:40]!r} at {self.answered_at:.3f}" if self.answered_at else "no answer"
+        if self.begun_at is not None:
+            state += f", a long one begun at {self.begun_at:.3f}"
         return f"{self.sent_at:.3f} request {self.id:x} ({self.effect.value}, {self.timeout:.3f} s): {state}"
 
 
@@ -94,6 +97,8 @@
     attempts: list[SoakAttempt] = field(default_factory=list)
     processes: list[ProcessRecord] = field(default_factory=list)
     lateness: list[tuple[float, float]] = field(default_factory=list)  # time, s by which the harness was late
+    broken_answers: set[int] = field(default_factory=set)  # ids of requests whose backend broke off within
+    backend_ends: list[float] = field(default_factory=list)  # when backends ended, in their order
     ended_at: float = 0.0  # when the clients stopped
 
     def lateness_around(self, at: float) -> float:
--- a/corkdeal/experiment/soak/run.py
+++ b/corkdeal/experiment/soak/run.py
@@ -51,6 +51,8 @@
         return (
             f"seed {self.seed}: {state}, {plan.gateway_count} gateways in {self.process_count} processes, "
             f"{plan.client_count} clients, pipeline {plan.pipeline}, crowd {plan.crowd}, "
+            f"long answers {100 * plan.long_values.answers:.0f}%, "
+            f"of which {100 * plan.long_values.broken_answers:.0f}% broken off, "
             f"{self.answer_count} answers to {self.request_count} requests, "
             f"harness late by {1000 * self.max_lateness:.0f} ms{late}"
         )
--- a/corkdeal/standin/backends.py
+++ b/corkdeal/standin/backends.py
@@ -266,9 +266,13 @@
         while self.reply_times and self.reply_times[0] < now - 1:
             self.reply_times.popleft()
         load = b"latency_ms=%d,qps=%d" % (self.mean_latency * 1000, len(self.reply_times))
-        value = b"done %b after %d ms" % (arguments[2], (now - began) * 1000)
+        value = self.make_value(arguments, now - began)
         return b"*3\r\n$%d\r\n%b\r\n$-1\r\n$%d\r\n%b\r\n" % (len(value), value, len(load), load)
 
+    def make_value(self, arguments: list[bytes], elapsed: float) -> bytes:
+        """Return the value of a reply to a command that took `elapsed` s."""
+        return b"done %b after %d ms" % (arguments[2], elapsed * 1000)
+
 
 def gamma_work(rng: random.Random, mean: float, cv: float) -> Callable[[], float]:
     """A function that draws work from a gamma distribution with that mean and coefficient of variation."""
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -15,6 +15,9 @@
     assert {behaviour for plan in plans for behaviour in plan.behaviours} == set(Behaviour)
     assert {plan.gateway_count for plan in plans} == set(range(1, 7))
     assert {plan.is_inherited for plan in plans} == {True, False}
+    assert {plan.long_values.broken_answers for plan in plans} == {0.0, 0.05, 0.3}
+    assert {bool(plan.long_values.answers) for plan in plans} == {True, False}
+    assert any(plan.long_values.requests and plan.pipeline > 1 for plan in plans)
     assert any(plan.crowd for plan in plans) and not all(plan.crowd for plan in plans)
 
 
--- a/tests/soak/test_rules.py
+++ b/tests/soak/test_rules.py
@@ -5,6 +5,7 @@
 import pytest
 
 from corkdeal.experiment.soak import rules
+from corkdeal.experiment.soak.clients import shorten
 from corkdeal.experiment.soak.plan import DEDUPLICATION_WINDOW
 from corkdeal.experiment.soak.records import (
     Effect,
@@ -14,6 +15,7 @@
     SoakRecord,
     SoakRequest,
 )
+from corkdeal.experiment.soak.services import fill_value, request_of
 from corkdeal.standin.history import BackendAttempt, Quota, SentList
 
 SOCKETS, MEMORY = 100, 1 << 20
@@ -112,6 +114,61 @@
     assert broken_rules(record) == {"one final answer"}
 
 
+@pytest.fixture
+def broken_answer(record):
+    """A long answer that its backend broke off 0.1 s after it began."""
+    request = make_request(2, sent_at=2.0, answered_at=None)
+    request.begun_at = 2.5
+    add_attempt(record, 2, at=2.1)
+    connection_of(record).requests.append(request)
+    connection_of(record).closed_at = 2.6
+    record.broken_answers.add(2)
+    return request
+
+
+def test_a_long_answer_that_a_gateway_cuts_off(record, broken_answer):
+    assert broken_rules(record) == set()
+    record.broken_answers.clear()
+    assert broken_rules(record) == {"one final answer"}
+    record.backend_ends = [1.0, 2.55]  # its backend may have ended within it
+    assert broken_rules(record) == set()
+    record.backend_ends = [1.0, 2.8]
+    assert broken_rules(record) == {"one final answer"}
+
+
+def test_a_request_that_ran_behind_a_long_answer_that_broke_off(record, broken_answer):
+    connection_of(record).requests.append(make_request(3, sent_at=2.45, answered_at=None))
+    assert broken_rules(record) == set()  # it may be unread, since it was sent just before the answer began
+    add_attempt(record, 3, at=2.5)
+    assert broken_rules(record) == {"one final answer"}
+
+
+def test_a_request_that_was_sent_long_before_a_long_answer_began_that_broke_off(record, broken_answer):
+    connection_of(record).requests.append(make_request(3, sent_at=2.0, answered_at=None))
+    assert broken_rules(record) == {"one final answer"}
+    record.lateness = [(at / 10, 0.4 if at == 25 else 0.0) for at in range(200)]
+    assert broken_rules(record) == set()
+
+
+def test_a_long_answer_is_timed_by_its_first_bytes(record):
+    request = connection_of(record).requests[0]
+    request.begun_at, request.answered_at = request.sent_at + request.timeout + 0.45, 5.0
+    assert broken_rules(record) == set()
+    request.begun_at += 0.1
+    assert broken_rules(record) == {"answers in time"}
+
+
+def test_a_long_answer_of_another_request_or_with_other_bytes_is_recorded_as_such():
+    for made_for, value_id, is_changed in ((2, 2, False), (2, 3, False), (2, 2, True)):
+        request = make_request(made_for, answered_at=None)
+        value = fill_value(b"done %016x after 3 ms" % made_for, b"%016x" % value_id, 70_000)
+        assert len(value) > 70_000 and request_of(value) == made_for
+        if is_changed:
+            value = value[:-3] + b"x" + value[-2:]
+        request.answer = shorten(b"$%d\r\n%b\r\n" % (len(value), value), request)
+        assert (b"%016x" % made_for in request.answer) is (made_for == value_id and not is_changed)
+
+
 def test_an_answer_that_comes_too_late(record):
     request = connection_of(record).requests[0]
     request.answered_at = request.sent_at + request.timeout + 0.45
