Read on after a long command that was paused at its last piece

Cause: a command may become complete with the same bytes that paused it. Its body then left the budget's queue without being resumed, and nothing else had the connection read again.

Change: the connection decides anew whether it reads once a body is complete.

--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -189,6 +189,7 @@
         elif frame.is_last:
             body, self.body = self.body, None
             body.finish()
+            self.update_reading()  # it may have been paused at its last piece
             if body.rpc is not None:
                 body.rpc.deadline = now + body.rpc.request.timeout
                 self.submit(body.rpc)
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -635,6 +635,18 @@
     assert not other.paused and not other.transport.reading_paused
 
 
+# Its connection stayed paused, so the next request on it was never read.
+def test_a_connection_whose_body_was_paused_at_its_last_piece_is_read_again():
+    harness = GatewayWithClient()
+    budget = harness.gateway.budget
+    holder = BudgetHolder(budget, body=True)  # an older one
+    harness.client_connection.dataReceived(write(1)[:LONG])
+    budget.set_held(holder, budget.high_mark - harness.client_connection.body.held_bytes)
+    harness.client_connection.dataReceived(write(1)[LONG:])
+    assert budget.is_full and harness.gateway.rpcs
+    assert not harness.client_connection.paused and not harness.client.reading_paused
+
+
 class LongValues(Program):
     """Large values with the release build on real sockets."""
 
