Give the last answers of a shutdown time for a hold-up and the process's end

The last answers were given 0.15 s before the kill, with nothing left for the end.

Change: they are given 0.25 s before it, which is still 0.45 s after the longest deadline, more than the 0.4 s in which new connections come.

--- a/corkdeal/net/shutdown.py
+++ b/corkdeal/net/shutdown.py
@@ -16,7 +16,9 @@
 # plus KILL_DELAY s.
 MAX_CLASS_DEADLINE = 3.0
 KILL_DELAY = 0.7
-FINAL_ANSWER_MARGIN = 0.15  # s before SIGKILL by which each open request gets its final answer
+# s before SIGKILL by which each open request gets its final answer: the process may be held up for 0.15 s,
+# and takes up to 0.1 s to write the answers and to end
+FINAL_ANSWER_MARGIN = 0.25
 
 
 class GracefulShutdown:
--- a/tests/test_closing_before_kill.py
+++ b/tests/test_closing_before_kill.py
@@ -28,6 +28,18 @@
     return gateway, reactor
 
 
+# Processes that were held up for 0.1 s at their last answers were killed before they had ended.
+def test_the_last_answers_leave_time_for_a_hold_up_and_for_the_end_of_the_process(draining):
+    gateway, reactor = draining
+    longest_hold_up, time_to_end = 0.15, 0.1  # s
+    connection = connect(gateway)
+    connection.dataReceived(PING)
+    gateway.shutdown.begin()
+    connection.dataReceived(PARTIAL_COMMAND)  # keeps the connection until the last answers
+    reactor.pump([0.01] * round((TIME_TO_KILL - longest_hold_up - time_to_end + 0.02) * 100))
+    assert not gateway.client_connections
+
+
 def advance(reactor, seconds):
     for _ in range(round(seconds / 0.05)):
         reactor.advance(0.05)
