Read what is behind a collected long answer only once

What callers would see (by reading, then shown by tests): a backend that sends more bytes right behind a long answer with requests behind it raised an exception in the gateway.

Cause: a reply that is whole releases its stream, and the release read on from the parser, which had passed the end of the reply; the bytes there were taken for the items of the load report.

Change: the release of a whole value only writes it.

--- a/corkdeal/net/response_stream.py
+++ b/corkdeal/net/response_stream.py
@@ -130,7 +130,10 @@
         self.budget.answers.set_held(self, self.buffer.size)
         self.rpc.client_connection.set_streamed_reply(self.rpc)
         self.resume()
-        self.advance()
+        if self.ended:  # what follows the value is read by the caller
+            self.rpc.client_connection.forward_response(self.rpc)
+        else:
+            self.advance()
 
     def receive(self, data: bytes) -> None:
         """Take further bytes of the reply from the backend."""
--- a/tests/test_requests_behind_long_answers.py
+++ b/tests/test_requests_behind_long_answers.py
@@ -138,6 +138,22 @@
     assert harness.taken() == VALUE + bulk(1)
 
 
+# The bytes behind a collected answer were read as its load report once more, which raised an exception.
+@pytest.mark.parametrize(
+    "more", [b"+more\r\n", served(), HEAD + VALUE], ids=["line", "answer", "long answer"]
+)
+def test_bytes_behind_a_collected_answer_end_its_backend_connection_only(more):
+    harness = Pipeline()
+    conn, _ = harness.ask_once(1)
+    other, _ = harness.ask_once(2)
+    conn.dataReceived(HEAD + VALUE[:HALF])
+    conn.dataReceived(VALUE[HALF:] + TAIL + more)
+    other.dataReceived(served())
+    assert harness.taken() == VALUE + bulk(1)
+    assert conn.ended and invariants.counts["backend_connection_unasked"] == 1
+    assert harness.outcomes() == [Status.OK, Status.OK]
+
+
 def test_a_long_answer_with_nothing_behind_is_forwarded_at_once_and_nothing_is_read_meanwhile():
     harness = Pipeline()
     conn, _ = harness.ask_once(1)
