Log why each client connection ended, how each attempt ended, and each final answer

Change: three events at debug level: client_connection_closed (connection, why, age, requests, ids left unanswered), attempt_ended (id, attempt, server, status) and request_answered (id, attempts, first line); counters retry_* by outcome. Nothing is formatted while the level is off.

--- a/corkdeal/logs/events.py
+++ b/corkdeal/logs/events.py
@@ -36,6 +36,12 @@
     "figures": (INFO, "metrics: counters since the start, and gauges (now_...)"),
     "recovery": (INFO, "readiness after a start or stall changed: state, before, why, among, after (s)"),
     "refused": (INFO, "requests rejected or failed so far, by cause, inside and beyond quotas"),
+    "client_connection_closed": (
+        DEBUG,
+        "a client connection ended: connection (its number), why, age (s), requests, unanswered (their ids)",
+    ),
+    "attempt_ended": (DEBUG, "an attempt ended: id (the client's), attempt, server, status, after (s)"),
+    "request_answered": (DEBUG, "a request got its final answer: id, attempts, line (the answer's first)"),
     "decisions_failed": (ERROR, "the decisions raised, the RPCs of these events fail: events, trace"),
     "action_failed": (ERROR, "an action of the decisions could not be carried out: action, trace"),
     "decisions_message": (INFO, "a log line of the decisions: text"),
--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import socket
 from collections import deque
 from typing import Any
@@ -13,7 +14,9 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from .. import logs
 from . import vectored_write
+from .close_reason import CloseReason
 from .descriptors import MIN_SILENT_TIME
 from .invariants import count, holds
 from .request_stream import RequestStream
@@ -35,6 +38,7 @@
 LINGER = 0.5  # s between checks whether the client has taken all, so that the connection can be closed
 OK = b"+OK\r\n"
 TOO_MANY_CLIENTS = b"-ERR max number of clients reached\r\n"
+connection_numbers = itertools.count(1)
 CLOSED, ABORTED = Failure(ConnectionDone()), Failure(ConnectionAborted())
 STANDBY_REPLY = b"-ERR standby\r\n"  # reply to PING; the load balancer takes any reply but PONG as not ready
 
@@ -61,7 +65,8 @@
         self.stalled_readers = gateway.descriptors.stalled_readers
         self.pending_replies: deque[RPC | ImmediateReply] = deque()  # in command order
         self.command_started_at = 0.0  # when the first byte of an incomplete command was read
-        self.idle_since = gateway.now()  # when it was accepted or last became idle
+        self.idle_since = self.opened_at = gateway.now()  # when it was accepted or last became idle
+        self.number = next(connection_numbers)  # in the log
         # whether the client has sent a complete command, and the number of its RPCs
         self.has_sent_command, self.request_count = False, 0
         self.bad_request_count = 0
@@ -75,6 +80,7 @@
         self.body: RequestStream | None = None  # the large value being received
         self.is_flushing = False
         self.is_streaming = False  # whether a reply that is not whole yet is being written
+        self.close_reason: CloseReason | None = None  # the first cause of its end
         self.held_bytes = 0  # bytes of a large reply not yet sent to the client, for the memory budget
 
     def connectionMade(self) -> None:
@@ -86,10 +92,10 @@
         self.idle.update(self)
         if self.gateway.lateness.is_overloaded and not self.gateway.shutdown.is_draining:
             count("client_connection_shed")
-            self.reply_and_drop(TOO_MANY_CLIENTS)
+            self.reply_and_drop(TOO_MANY_CLIENTS, CloseReason.SHED)
         elif not self.gateway.descriptors.admit_client_connection():
             count("client_connection_refused")
-            self.reply_and_drop(TOO_MANY_CLIENTS)
+            self.reply_and_drop(TOO_MANY_CLIENTS, CloseReason.DESCRIPTORS)
 
     def rawDataReceived(self, data: bytes) -> None:
         """Parse received bytes and write all immediate replies together.
@@ -115,7 +121,8 @@
         except MalformedError as error:
             count("client_connection_malformed")
             self.drop_body()
-            self.reply_and_close(b"-ERR Protocol error: %b\r\n" % str(error).encode())
+            reply = b"-ERR Protocol error: %b\r\n" % str(error).encode()
+            self.reply_and_close(reply, CloseReason.MALFORMED)
         finally:
             self.is_parsing = False
         self.command_started_at = command_started_at
@@ -141,7 +148,7 @@
         elif name in (b"CLIENT", b"SELECT"):
             self.queue_reply(OK)
         elif name == b"QUIT":
-            self.reply_and_close(OK)
+            self.reply_and_close(OK, CloseReason.QUIT)
         else:
             self.queue_reply(b"-ERR unknown command\r\n")
 
@@ -167,8 +174,11 @@
         """Reply with the error; close the connection at `MAX_BAD_REQUESTS` bad requests."""
         count("request_malformed")
         self.bad_request_count += 1
-        respond = self.queue_reply if self.bad_request_count < MAX_BAD_REQUESTS else self.reply_and_close
-        respond(b"-ERR %b\r\n" % str(error).encode())
+        reply = b"-ERR %b\r\n" % str(error).encode()
+        if self.bad_request_count < MAX_BAD_REQUESTS:
+            self.queue_reply(reply)
+        else:
+            self.reply_and_close(reply, CloseReason.BAD_REQUESTS)
 
     def handle_large_command(self, frame: Frame, now: float) -> bool:
         """Handle part of a command with a large value; return whether the next frame can be parsed."""
@@ -213,7 +223,7 @@
     def body_timed_out(self) -> None:
         """Close the connection because a large value stalled; its RPC is dropped."""
         self.drop_body()
-        self.reply_and_close(b"-ERR timeout: the command does not come\r\n")
+        self.reply_and_close(b"-ERR timeout: the command does not come\r\n", CloseReason.COMMAND_TIMEOUT)
 
     def drop_body(self) -> None:
         """Drop the command whose large value is incomplete; the gateway has not accepted it yet."""
@@ -407,6 +417,7 @@
         Nothing may be written after it: the client would read that as the rest of the response.
         """
         count("answer_cut_off")
+        self.set_close_reason(CloseReason.ANSWER_CUT_OFF)
         self.terminating = True
         self.idle.discard(self)
         self.abandon_pending()
@@ -439,19 +450,25 @@
         self.transport.unregisterProducer()
         self.transport.loseConnection()
 
-    def reply_and_close(self, reply: bytes) -> None:
+    def set_close_reason(self, reason: CloseReason) -> None:
+        """Record why this connection ends, unless a cause is recorded already."""
+        self.close_reason = self.close_reason or reason
+
+    def reply_and_close(self, reply: bytes, reason: CloseReason) -> None:
         """Write the pending replies and this one, then close.
 
         Closing at once, with input unread, would send a reset that may discard the reply at the client.
         """
+        self.set_close_reason(reason)
         self.terminating = True
         self.queue_reply(reply)
 
-    def reply_and_drop(self, reply: bytes) -> None:
+    def reply_and_drop(self, reply: bytes, reason: CloseReason) -> None:
         """Write a reply and close at once, for a client that has sent nothing.
 
         Many such connections lingering could fill the descriptor table.
         """
+        self.set_close_reason(reason)
         self.terminating = True
         vectored_write.write(self.transport, [reply])
         self.close_now()
@@ -476,6 +493,7 @@
             count("client_connection_without_command")
         elif not self.terminating and (self.pending_replies or self.has_unread_bytes()):
             return
+        self.set_close_reason(CloseReason.SHUTDOWN)
         self.close_now()
 
     def drop(self) -> None:
@@ -484,6 +502,7 @@
         Twisted's abortConnection frees it in the next reactor iteration only, and many connections may be
         accepted in this one.
         """
+        self.set_close_reason(CloseReason.REPLACED)
         self.terminating = True
         self.idle.discard(self)
         self.transport.connectionLost(ABORTED)
@@ -491,13 +510,15 @@
     def close_unread(self) -> None:
         """Close because the client does not read its replies; those that it can't take are discarded."""
         count("answer_not_taken")
+        self.set_close_reason(CloseReason.ANSWERS_NOT_TAKEN)
         self.terminating = self.is_shut_down = True
         self.idle.discard(self)
         self.transport.abortConnection()
 
-    def close_when_idle(self) -> None:
+    def close_when_idle(self, reason: CloseReason = CloseReason.IDLE) -> None:
         """Close between requests: now or after the last pending reply. Unread requests are served first."""
         if not self.closing and not self.terminating:
+            self.set_close_reason(reason)
             self.closing = True
             self.idle.update(self)
             self.close_if_idle()
@@ -530,6 +551,7 @@
 
         Attempts may still start within `HALF_CLOSE_GRACE`, and each request gets its reply before the close.
         """
+        self.set_close_reason(CloseReason.HALF_CLOSED)
         self.half_closed = True
         self.idle.discard(self)
         if self.body is not None:
@@ -607,6 +629,7 @@
 
     def connectionLost(self, reason: Any = None) -> None:
         """The connection is closed: release what it holds and abandon its requests."""
+        self.log_close()
         self.gateway.client_connections.discard(self)
         self.idle.discard(self)
         self.gateway.descriptors.paused.discard(self)
@@ -615,6 +638,20 @@
         self.abandon_pending()
         self.gateway.shutdown.end_if_idle()
 
+    def log_close(self) -> None:
+        """Log why the connection ended, and which requests are left without an answer."""
+        if not logs.is_enabled("client_connection_closed"):
+            return
+        unanswered = [rpc.id for rpc in self.pending_replies if isinstance(rpc, RPC) and rpc.reply is None]
+        logs.event(
+            "client_connection_closed",
+            connection=self.number,
+            why=(self.close_reason or CloseReason.CLIENT_LEFT).value,
+            age=round(self.gateway.now() - self.opened_at, 3),
+            requests=self.request_count,
+            unanswered=",".join(f"{request_id:016x}" for request_id in unanswered),
+        )
+
     def abandon_pending(self) -> None:
         """Abandon all pending requests and streamed responses."""
         self.drop_body()
--- a/corkdeal/net/descriptors.py
+++ b/corkdeal/net/descriptors.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from .close_reason import CloseReason
 from .idle_connections import Awaited, IdleConnections, Use
 from .invariants import count
 from .stalled_readers import StalledReaders
@@ -76,18 +77,18 @@
             now - (MIN_IDLE_TIME if is_crowded else IDLE_TIMEOUT)
         ):
             count("client_connection_idle")
-            connection.close_when_idle()
+            connection.close_when_idle(CloseReason.IDLE)
 
     def close_late_commands(self, latest: float) -> None:
         """Close connections with an incomplete command that started at `latest` or before."""
         for connection in self.idle.expiring[Awaited.REST_OF_COMMAND].all_until(latest):
             if not connection.has_unread_bytes():
                 count("client_connection_without_command")
-                connection.reply_and_close(TIMEOUT_REPLY)
+                connection.reply_and_close(TIMEOUT_REPLY, CloseReason.COMMAND_TIMEOUT)
 
     def close_silent(self, latest: float) -> None:
         """Close connections that were accepted at `latest` or before and have sent nothing."""
         for connection in self.idle.expiring[Awaited.FIRST_COMMAND].all_until(latest):
             if not connection.has_unread_bytes():
                 count("client_connection_silent")
-                connection.reply_and_drop(TIMEOUT_REPLY)
+                connection.reply_and_drop(TIMEOUT_REPLY, CloseReason.SILENT)
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -434,6 +434,7 @@
         if rpc is None:
             return self.handle_event(HealthCheckResult(attempt.backend, reply.status, elapsed, report))
         rid = rpc.request.id
+        self.log_attempt(attempt, reply, elapsed)
         self.attempts_in_flight.pop((rid, attempt.number), None)
         rpc.attempt = None
         if rpc.first_run_at is None and reply.status not in NEVER_RAN:
@@ -451,6 +452,20 @@
             AttemptEnded(rid, attempt.number, attempt.backend, reply.status, elapsed, rpc.done, report=report)
         )
 
+    def log_attempt(self, attempt: Attempt, reply: Reply, elapsed: float) -> None:
+        """Count a retry by what failed before it, and log how an attempt ended."""
+        if attempt.number > 0:
+            count(f"retry_{reply.status.name.lower()}")
+        if logs.is_enabled("attempt_ended"):
+            logs.event(
+                "attempt_ended",
+                id=f"{attempt.rpc.id:016x}",
+                attempt=attempt.number,
+                server=attempt.backend,
+                status=reply.status.name.lower(),
+                after=round(elapsed, 4),
+            )
+
     def response_started(self, attempt: Attempt, response_stream: ResponseStream) -> bool:
         """A long answer has begun; returns whether the RPC is still open.
 
@@ -507,6 +522,9 @@
     def answer(self, rid: int, reply: list[Any]) -> None:
         """Send an RPC's one final answer, unless it has one or its client has disconnected."""
         if (rpc := self.close_rpc(rid)) is not None:
+            if logs.is_enabled("request_answered"):
+                line = bytes(reply[0][:20]).partition(b"\r\n")[0].decode("latin-1")
+                logs.event("request_answered", id=f"{rpc.id:016x}", attempts=rpc.attempts, line=line)
             rpc.client_connection.set_reply(rpc, reply)
 
     def close_rpc(self, rid: int) -> RPC | None:
--- a/corkdeal/net/operators.py
+++ b/corkdeal/net/operators.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from .. import logs
+from .close_reason import CloseReason
 from .endpoint_list import EndpointList
 
 
@@ -60,7 +61,7 @@
             "standby", open=len(self.gateway.rpcs), client_connections=len(self.gateway.client_connections)
         )
         for connection in list(self.gateway.client_connections):
-            connection.close_when_idle()
+            connection.close_when_idle(CloseReason.STANDBY)
         return True
 
     def end_standby(self) -> bool:
--- a/corkdeal/net/shutdown.py
+++ b/corkdeal/net/shutdown.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from .. import logs
+from .close_reason import CloseReason
 from .invariants import count
 
 if TYPE_CHECKING:
@@ -57,7 +58,7 @@
                 gateway.port.accept_queued()
             gateway.port.stopListening()
         for connection in list(gateway.client_connections):
-            connection.close_when_idle()
+            connection.close_when_idle(CloseReason.SHUTDOWN)
         self.end_if_idle()
 
     def answer_open_rpcs(self) -> None:
