Count all that client and backend connections hold against the one memory budget

Cause: only long values were counted. Partial commands of up to 256 KiB, commands and answers of up to 64 KiB, unparsed input, what a transport buffered, and the records themselves stood outside; a pending request kept the whole buffer it arrived in, an answered one its command; immediate replies behind a pending request had no limit at all; a fixed 48 MB stood for all of that.

Change: a command without a value over 4 KiB may take 16 KiB, longer values are received in pieces (as above 64 KiB before, also in ECHO: an error). Connections, pending requests, answers, partial replies and accounts are holders of the budget, which is 0.55 of the limit less 40 MB. Above half of it a connection may have 8 pending requests, for 256; at the limit requests are answered -BUSY; an answer that would have to wait takes at most 0.35 of it, else it is -ERR failed. A client that has not taken its answers is not read; clients are read 8 KiB at a time, bodies by the room that is left.

Tests: budget.total == 0 meant that no long value was held; now that idle connections count, held() takes those off. ECHO of 64 KiB is ECHO of 4 KiB in the test of clients that do not read.

--- a/corkdeal/net/backend_connection.py
+++ b/corkdeal/net/backend_connection.py
@@ -74,6 +74,7 @@
         self.response_stream: ResponseStream | None = None  # the large reply being received
         self.command_writer: CommandWriter | None = None  # writer of a large command, until all is written
         self.idle_since = 0.0
+        self.held_bytes = 0  # of a reply that is not complete, for the memory budget
         self.connector: Any = None
         self.write_started_at: float | None = None  # when writing of the current attempt started
         attempt.conn = self
@@ -135,20 +136,33 @@
                 raise MalformedError("reply before the command was fully written")
         except MalformedError:
             return self.fail_malformed(self.attempt)
-        # an incomplete reply must not hold its request until the deadline
-        if not reply and not had_partial_frame:
-            self.pool.reactor.callLater(
-                REPLY_STALL_TIMEOUT,
-                self.check_reply_stall,
-                self.attempt,
-                self.pool.now() + REPLY_TIMEOUT,
-                len(self.parser.buf),
-            )
         if reply:
             self.finish_reply(self.attempt, reply)
+        elif self.hold_incomplete() and not had_partial_frame:
+            self.schedule_stall_check(self.attempt)
+
+    def schedule_stall_check(self, attempt: Attempt) -> None:
+        """Check the progress of a reply that has begun: it must not hold its request until the deadline."""
+        self.pool.reactor.callLater(
+            REPLY_STALL_TIMEOUT,
+            self.check_reply_stall,
+            attempt,
+            self.pool.now() + REPLY_TIMEOUT,
+            len(self.parser.buf),
+        )
+
+    def hold_incomplete(self) -> bool:
+        """Count the bytes of an incomplete reply; without memory its attempt ends, and False is returned."""
+        self.pool.budget.set_held(self, len(self.parser.buf))
+        if not self.pool.budget.is_exhausted:
+            return True
+        count("reply_without_memory")
+        self.pool.abandon(self.attempt, Status.CANCELLED)  # its backend is not to blame
+        return False
 
     def finish_reply(self, attempt: Attempt, reply: Reply) -> None:
         """The reply is complete; keep the connection unless further bytes were received."""
+        self.pool.budget.set_held(self, 0)
         if self.response_stream:
             self.response_stream.finish()
         self.attempt = self.response_stream = None
@@ -165,6 +179,7 @@
         """Start to stream a reply that was received up to a large value."""
         if attempt.rpc is None or self.command_writer:
             raise MalformedError("unexpected large value")
+        self.pool.budget.set_held(self, 0)  # the stream counts what it holds
         self.response_stream = ResponseStream(self, attempt, frame)
         self.response_stream.start()
 
@@ -204,6 +219,7 @@
         if self.ended:
             return
         self.ended, self.attempt = True, None
+        self.pool.budget.set_held(self, 0)
         self.pool.remove(self)
         if self.response_stream:
             self.response_stream.handle_backend_close()
@@ -230,6 +246,7 @@
         if self.ended:
             return
         attempt, self.ended, self.attempt = self.attempt, True, None
+        self.pool.budget.set_held(self, 0)
         self.pool.remove(self)
         if self.response_stream:
             self.response_stream.handle_backend_close()
--- a/corkdeal/net/budget.py
+++ b/corkdeal/net/budget.py
@@ -1,12 +1,17 @@
-"""The process's memory budget for buffered long values; it does no I/O and reads no clock.
-
-Each holder (the body of a command until its reply, an answer that its client has not read yet, or one
-that is being collected, see `answer_reservations`) reports how many bytes it holds. Above the high mark only
-the oldest incomplete body may grow, and no new long value is begun; above the limit none may. At the low mark
-the waiting holders resume, in the order in which they began to wait. Among incomplete bodies the oldest can
-always be received completely, since the high mark is one longest value below the limit, and complete ones
-are freed by their deadlines. So there is always progress, and the total never exceeds the limit by more than
-two pieces.
+"""The process's memory budget: whatever clients and backends make it hold; no I/O and no clock.
+
+Each holder reports how many bytes it holds: a client connection (itself, unparsed input, pending requests,
+answers that its client has not taken), a backend connection within a reply, the body of a command, a long
+answer (see `answer_reservations`), and the customers' accounts. Pressure grows in three steps:
+
+- Above the crowded mark connections may have few pending requests, and read less at once.
+- Above the high mark only the oldest incomplete body may grow, and no new long value is begun. At the low
+  mark the waiting holders resume, in the order in which they began to wait.
+- Above the limit no body may grow, new requests are rejected, and answers are not kept for clients that do
+  not take them.
+
+Among incomplete bodies the oldest can be received completely, since the high mark is one longest value below
+the limit, and complete ones are freed by their deadlines.
 """
 
 from __future__ import annotations
@@ -18,16 +23,23 @@
 from .resp import MAX_INLINE_VALUE, MAX_VALUE
 
 LOW_MARK_FRACTION = 0.75  # of the high mark; waiting holders resume at or below it
+CROWDED_FRACTION = 0.5  # of the limit
+WAITING_ANSWERS_FRACTION = 0.35  # of the limit; for answers that wait for their turn or for their clients
 MIN_BUDGET = 2 * MAX_VALUE  # bytes; with less, one long value would block all others
-BASE_MEMORY = 48 << 20  # bytes that the process uses without long values, at usual loads
+PROCESS_MEMORY = 40 << 20  # bytes that the process uses before its first client
+HELD_FRACTION = 0.55  # of the rest of the limit; the allocator and objects of short life need some, too
+CONNECTION_MEMORY = 5 << 10  # bytes of a client connection that is idle
+REQUEST_MEMORY = 3 << 10  # bytes of a pending request without its command, with its records and timers
 ACCOUNT_MEMORY = 800  # bytes of one customer's account, with its place in tables
-ACCOUNT_FRACTION = 0.25  # of the budget; for customers' accounts
-LONG_VALUE_FRACTION = 0.5  # of the rest of the limit; the allocator and transports need some, too
+ACCOUNT_FRACTION = 0.2  # of the budget; for customers' accounts
+MIN_READ_SIZE = 8 << 10  # bytes read at once from one client
+MAX_READ_SIZE = 64 << 10
+READ_ROOM_FRACTION = 1 / 8  # of the free bytes; for one read of each incomplete body
 
 
 def budget_for(limit: int) -> int:
     """The budget in bytes, given the memory limit of the process."""
-    return max(MIN_BUDGET, int((limit - BASE_MEMORY) * LONG_VALUE_FRACTION))
+    return max(MIN_BUDGET, int((limit - PROCESS_MEMORY) * HELD_FRACTION))
 
 
 def max_accounts(limit: int) -> int:
@@ -57,7 +69,10 @@
     def __init__(self, limit: int) -> None:
         self.limit, self.high_mark = limit, limit - MAX_VALUE
         self.low_mark = int(self.high_mark * LOW_MARK_FRACTION)
+        self.crowded_mark = int(limit * CROWDED_FRACTION)
+        self.max_waiting_answers = int(limit * WAITING_ANSWERS_FRACTION)
         self.total = 0
+        self.waiting_answers = 0  # bytes, a part of the total
         self.incomplete_bodies: dict[Waiter, None] = {}  # the oldest first
         self.waiting: deque[Waiter] = deque()
         self.answers = AnswerReservations(self)
@@ -67,6 +82,25 @@
         """Whether the total is above the high mark."""
         return self.total > self.high_mark
 
+    @property
+    def is_crowded(self) -> bool:
+        """Whether the total is above the crowded mark."""
+        return self.total > self.crowded_mark
+
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether the total has reached the limit."""
+        return self.total >= self.limit
+
+    def may_keep_answer(self, size: int) -> bool:
+        """Return whether an answer of that size may wait for its turn or for its client."""
+        return self.waiting_answers + size <= self.max_waiting_answers and self.total + size <= self.limit
+
+    def read_size(self) -> int:
+        """Return how many bytes of a body to read at once: less where many bodies share little room."""
+        room = (self.limit - self.total) * READ_ROOM_FRACTION / max(1, len(self.incomplete_bodies))
+        return int(max(MIN_READ_SIZE, min(MAX_READ_SIZE, room)))
+
     def add_body(self, body: Waiter) -> None:
         """Add a body that is beginning to arrive; without free space it has to wait."""
         self.incomplete_bodies[body] = None
--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -16,7 +16,9 @@
 
 from .. import logs
 from . import vectored_write
+from .budget import MIN_READ_SIZE, REQUEST_MEMORY
 from .close_reason import CloseReason
+from .connection_memory import ConnectionMemory
 from .descriptors import MIN_SILENT_TIME
 from .invariants import count, holds
 from .request_stream import RequestStream
@@ -27,6 +29,12 @@
 from .tcp_state import PeerState, peer_state, seconds_since_fin, unacknowledged_bytes
 
 MAX_PENDING_REPLIES = 256  # unanswered commands at which the gateway stops reading from a client connection
+MAX_PENDING_WHEN_CROWDED = 8  # the same, while the memory budget is crowded
+MAX_SHORT_VALUE = 4 << 10  # bytes; a command's longer value is received in pieces, see `request_stream`
+MAX_COMMAND_SIZE = 16 << 10  # bytes of a command without a longer value
+WRITE_BATCH = 64 << 10  # bytes of replies that are written at once
+SHORT_ANSWER = 256  # bytes; answers up to that are always kept for their clients
+IMMEDIATE_REPLY_MEMORY = 256  # bytes of an immediate reply, besides its text
 MAX_BAD_REQUESTS = 16  # bad requests at which a connection is closed, so that a flood of them costs little
 # A client that sends its request and its FIN together (`printf ... | nc`) still reads the reply, so attempts
 # for it may start within HALF_CLOSE_GRACE of the FIN. A client that has closed the connection looks the same,
@@ -37,6 +45,7 @@
 KERNEL_TICK = 0.01  # s; the longest tick of any kernel configuration
 LINGER = 0.5  # s between checks whether the client has taken all, so that the connection can be closed
 OK = b"+OK\r\n"
+NO_MEMORY_REPLY = b"-ERR failed: no memory for the answer\r\n"
 TOO_MANY_CLIENTS = b"-ERR max number of clients reached\r\n"
 connection_numbers = itertools.count(1)
 CLOSED, ABORTED = Failure(ConnectionDone()), Failure(ConnectionAborted())
@@ -46,11 +55,12 @@
 class ImmediateReply:
     """A reply to a command that needs no RPC, queued in order with the RPCs."""
 
-    __slots__ = ("reply",)
+    __slots__ = ("held_bytes", "reply", "waiting_bytes")
     response_stream = None
 
     def __init__(self, reply: bytes) -> None:
         self.reply = [reply]
+        self.held_bytes = self.waiting_bytes = 0
 
 
 @implementer(IHalfCloseableProtocol)
@@ -60,7 +70,8 @@
     line_mode = 0
 
     def __init__(self, gateway: Any) -> None:
-        self.gateway, self.parser = gateway, Parser()
+        self.gateway, self.parser = gateway, Parser(MAX_SHORT_VALUE, MAX_COMMAND_SIZE)
+        self.memory = ConnectionMemory(gateway.budget, self.buffered_bytes)
         self.idle = gateway.descriptors.idle
         self.stalled_readers = gateway.descriptors.stalled_readers
         self.pending_replies: deque[RPC | ImmediateReply] = deque()  # in command order
@@ -81,11 +92,12 @@
         self.is_flushing = False
         self.is_streaming = False  # whether a reply that is not whole yet is being written
         self.close_reason: CloseReason | None = None  # the first cause of its end
-        self.held_bytes = 0  # bytes of a large reply not yet sent to the client, for the memory budget
 
     def connectionMade(self) -> None:
         """Register the connection, or reject it on overload or when no descriptor can be freed for it."""
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = MIN_READ_SIZE  # of one read
+        self.memory.update()
         self.transport.registerProducer(self, True)  # backpressure: a client that does not read is not read
         self.gateway.client_connections.add(self)
         self.closing = self.gateway.operators.standby  # on standby: close it once its requests are answered
@@ -139,6 +151,7 @@
                 rpc = self.gateway.command_parser.parse(frame, now, self.unread_time)
             except BadRequestError as error:
                 return self.reject_bad_request(error)
+            rpc.frame = frame.compacted()
             self.enqueue(rpc)
             self.submit(rpc)
         elif name == b"PING" and len(frame.items) == 2:
@@ -153,23 +166,37 @@
             self.queue_reply(b"-ERR unknown command\r\n")
 
     def submit(self, rpc: RPC) -> None:
-        """Pass a complete RPC to the gateway, or reject it if its client disconnected before it was read."""
-        if self.attempts_stopped:
+        """Pass a complete RPC to the gateway.
+
+        It is rejected if its client disconnected before it was read, or the memory budget is used up.
+        """
+        if not self.attempts_stopped and self.gateway.budget.is_exhausted:
+            count("request_without_memory")
+        if self.attempts_stopped or self.gateway.budget.is_exhausted:
             rpc.reply = [self.gateway.reject_early(rpc, 0.0)]
             rpc.release()
         else:
             self.gateway.accept_rpc(rpc)
 
     def enqueue(self, rpc: RPC) -> None:
-        """Queue an RPC for its reply; stop reading at `MAX_PENDING_REPLIES`."""
+        """Queue an RPC for its reply."""
         rpc.client_connection = self
         self.request_count += 1
-        self.pending_replies.append(rpc)
+        self.append_pending(rpc, REQUEST_MEMORY + rpc.frame.size())
         self.idle.discard(self)
-        if len(self.pending_replies) >= MAX_PENDING_REPLIES and not self.at_reply_limit:
+
+    def append_pending(self, pending: RPC | ImmediateReply, size: int) -> None:
+        """Append to the pending replies what takes `size` bytes; stop reading at their limit."""
+        self.pending_replies.append(pending)
+        self.memory.add(pending, size)
+        if len(self.pending_replies) >= self.max_pending_replies() and not self.at_reply_limit:
             self.at_reply_limit = True
             self.update_reading()
 
+    def max_pending_replies(self) -> int:
+        """Return at how many pending replies reading stops."""
+        return MAX_PENDING_WHEN_CROWDED if self.gateway.budget.is_crowded else MAX_PENDING_REPLIES
+
     def reject_bad_request(self, error: BadRequestError) -> None:
         """Reply with the error; close the connection at `MAX_BAD_REQUESTS` bad requests."""
         count("request_malformed")
@@ -210,7 +237,9 @@
         """Take the available bytes of a large value; return whether the value is complete."""
         while (piece := self.parser.piece()) is not None:
             self.body.receive(piece)
-        return not self.parser.value_left
+        is_complete = not self.parser.value_left
+        self.transport.bufferSize = MIN_READ_SIZE if is_complete else self.gateway.budget.read_size()
+        return is_complete
 
     def reject_body(self, body: RequestStream, after: float) -> None:
         """Reject a command whose large value is still being received; the rest of it is discarded."""
@@ -231,13 +260,15 @@
         if body is not None:
             if body.rpc is not None:
                 self.pending_replies.remove(body.rpc)
+                self.memory.remove(body.rpc)
                 self.gateway.command_parser.open_ids.discard(body.rpc.id)
             body.finish()
             body.drop()
+            self.memory.update()
 
     def queue_reply(self, reply: bytes) -> None:
         """Queue an immediate reply behind the pending ones."""
-        self.pending_replies.append(ImmediateReply(reply))
+        self.append_pending(ImmediateReply(reply), IMMEDIATE_REPLY_MEMORY + len(reply))
         self.flush()
 
     def set_reply(self, rpc: RPC, reply: list[vectored_write.Part]) -> None:
@@ -245,8 +276,23 @@
         if holds(rpc.reply is None, "second_answer"):
             if rpc.response_stream is not None:
                 rpc.response_stream.detach()
+            size = sum(map(len, reply))
+            if not self.may_keep_answer(rpc, size):
+                count("answer_without_memory")
+                reply, size = [NO_MEMORY_REPLY], len(NO_MEMORY_REPLY)
             rpc.reply = reply
+            self.memory.add_answer(rpc, size)
             self.flush()
+            self.memory.update()  # it may have to wait for the end of parsing
+
+    def may_keep_answer(self, rpc: RPC, size: int) -> bool:
+        """Return whether an answer may be kept until its turn comes and its client takes it.
+
+        One that is next, for a client that has taken all before, needs no memory: the socket takes it.
+        """
+        if size <= SHORT_ANSWER or self.gateway.budget.may_keep_answer(size):
+            return True
+        return self.is_next(rpc) and not self.untaken_bytes()
 
     def set_streamed_reply(self, rpc: RPC) -> None:
         """Set the final reply of an RPC, which its response stream provides."""
@@ -275,6 +321,10 @@
         """Return whether the reply of this RPC is the next to be written."""
         return bool(self.pending_replies) and rpc is self.pending_replies[0]
 
+    def buffered_bytes(self) -> int:
+        """Return the number of bytes in this process's buffers, of input and of output."""
+        return len(self.parser.buf) + len(self._buffer) + self.unsent_bytes()
+
     def unsent_bytes(self) -> int:
         """Return the number of bytes written but not yet accepted by the socket."""
         return len(self.transport.dataBuffer) - self.transport.offset + self.transport._tempDataLen
@@ -292,7 +342,8 @@
             self.write_ready_replies()
         finally:
             self.is_flushing = False
-        if self.at_reply_limit and len(self.pending_replies) < MAX_PENDING_REPLIES // 2:
+        self.memory.update()
+        if self.at_reply_limit and len(self.pending_replies) < self.max_pending_replies() // 2:
             self.at_reply_limit = False
             if not self.terminating:
                 self.update_reading()
@@ -309,27 +360,35 @@
                 self.close_if_idle()  # waits for the rest of a partial command; the sweep bounds that wait
 
     def write_ready_replies(self) -> None:
-        """Write the replies that are next in order, small ones together by one vectored write."""
-        parts: list[vectored_write.Part] = []
-        while self.pending_replies:
+        """Write the replies that are next in order, as far as the client takes them."""
+        while self.pending_replies and not self.wait_for_client():
             pending = self.pending_replies[0]
             if (response_stream := pending.response_stream) is None:
                 if pending.reply is None:
-                    break
-                parts += pending.reply
-            else:
-                self.write(parts)
-                parts = []
-                if not response_stream.is_released:
-                    response_stream.handle_turn()
-                    if pending.response_stream is response_stream and not response_stream.is_released:
-                        self.wait_for_client()
-                        break
-                    continue
-                if not self.write_stream(response_stream):
-                    break
-                response_stream.detach()
-            self.pending_replies.popleft()
+                    return
+                self.write_batch()
+                continue
+            if not response_stream.is_released:
+                response_stream.handle_turn()
+                if pending.response_stream is response_stream and not response_stream.is_released:
+                    return
+                continue
+            if not self.write_stream(response_stream):
+                return
+            response_stream.detach()
+            self.memory.remove(self.pending_replies.popleft())
+
+    def write_batch(self) -> None:
+        """Write complete replies at the head of the queue, until they have `WRITE_BATCH` bytes or more."""
+        parts: list[vectored_write.Part] = []
+        size = 0
+        while self.pending_replies and size < WRITE_BATCH:
+            pending = self.pending_replies[0]
+            if pending.response_stream is not None or pending.reply is None:
+                break
+            parts += pending.reply
+            size += sum(map(len, pending.reply))
+            self.memory.remove(self.pending_replies.popleft())
         self.write(parts)
 
     def write_stream(self, response_stream: ResponseStream) -> bool:
@@ -339,8 +398,7 @@
             self.write(batch)
         if not self.wait_for_client():
             response_stream.resume()
-        if (unsent := self.unsent_bytes()) != self.held_bytes:
-            self.gateway.budget.set_held(self, unsent)
+        self.memory.update()
         return response_stream.ended and not response_stream.buffer.size
 
     def wait_for_client(self) -> bool:
@@ -366,7 +424,7 @@
         """Write parts of replies; a client that does not take them is watched."""
         if parts and self.transport.connected:
             vectored_write.write(self.transport, parts)
-            if vectored_write.pending(self.transport):
+            if self.wait_for_client():
                 self.stalled_readers.watch(self)
 
     def pauseProducing(self) -> None:
@@ -376,12 +434,12 @@
             response_stream.pause()
 
     def resumeProducing(self) -> None:
-        """The send buffer is empty: read from the client again, and write the rest of a large reply."""
+        """The send buffer is empty: read from the client again, and write what waits."""
         self.update_reading()
-        if self.held_bytes:
-            self.gateway.budget.set_held(self, 0)
-        if self.pending_replies and self.pending_replies[0].response_stream is not None:
+        if self.pending_replies:
             self.flush()
+        else:
+            self.memory.update()
 
     def written_stream(self) -> ResponseStream | None:
         """Return the large reply that is being written, if there is one."""
@@ -390,9 +448,12 @@
 
     @property
     def is_awaiting_reply(self) -> bool:
-        """Whether a reply is pending that is not whole yet."""
-        response_stream = self.written_stream()
-        return bool(self.pending_replies) and not (response_stream is not None and response_stream.ended)
+        """Whether the next reply is pending and not whole yet."""
+        if not self.pending_replies:
+            return False
+        if (response_stream := self.written_stream()) is not None:
+            return not response_stream.ended
+        return self.pending_replies[0].reply is None
 
     def update_reading(self) -> None:
         """Pause or resume reading from the client.
@@ -429,11 +490,18 @@
         Closing at once, with input unread, would send a reset, which discards what the client has not taken.
         """
         self.is_shut_down = True
+        self.discard_input()
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
         self.transport.pauseProducing()  # reading 60 MB to discard it costs more than the connection
         self.gateway.reactor.callLater(LINGER, self.end_lingering, 0, 0.0)
 
+    def discard_input(self) -> None:
+        """Free what was read and will not be parsed."""
+        self.parser = Parser(MAX_SHORT_VALUE, MAX_COMMAND_SIZE)
+        self.clearLineBuffer()
+        self.memory.update()
+
     def end_lingering(self, previous_untaken: int, stalled_time: float) -> None:
         """Close if the client has taken all, or has taken no byte for `CLIENT_STALL_TIMEOUT`."""
         if self not in self.gateway.client_connections:
@@ -634,8 +702,8 @@
         self.idle.discard(self)
         self.gateway.descriptors.paused.discard(self)
         self.stalled_readers.discard(self)
-        self.gateway.budget.set_held(self, 0)
         self.abandon_pending()
+        self.memory.close()
         self.gateway.shutdown.end_if_idle()
 
     def log_close(self) -> None:
@@ -657,6 +725,7 @@
         self.drop_body()
         abandoned, self.pending_replies = self.pending_replies, deque()
         for rpc in abandoned:
+            self.memory.remove(rpc)
             if rpc.reply is None:
                 self.gateway.client_disconnected(rpc)
             if rpc.response_stream is not None:
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -46,7 +46,7 @@
 from ..decisions.settings import Effect
 from . import client_connection, client_port, invariants
 from .backend_connection import Attempt, BackendPool, Reply
-from .budget import Budget, budget_for, max_accounts
+from .budget import ACCOUNT_MEMORY, Budget, budget_for, max_accounts
 from .config import Config, ConfigError, format_address, load_config
 from .descriptors import Descriptors
 from .discovery_snapshot import DiscoverySnapshot
@@ -77,6 +77,13 @@
 NOT_PENDING_AFTER_RELOAD = ("discovery", "known", "seed")
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class AccountMemory:
+    """The memory of all customers' accounts, a holder of the memory budget."""
+
+    held_bytes: int = 0
+
+
 class Gateway:
     """One gateway: connects the decision module to client connections, backend connections and peers."""
 
@@ -89,6 +96,7 @@
         self.client_connections: set[client_connection.ClientConnection] = set()
         self.lateness = LoopLateness()
         self.budget = Budget(budget_for(config.memory))
+        self.account_memory = AccountMemory()
         self.descriptors = Descriptors(config.sockets, self.client_connections, self.now)
         self.pool = BackendPool(
             reactor,
@@ -305,6 +313,7 @@
         self.operators.sync_overrides()
         self.pool.sweep()
         self.descriptors.sweep()
+        self.update_account_memory()
 
     def log_counters(self) -> None:
         """Log the counters and the rejections by cause, if they changed."""
@@ -348,8 +357,15 @@
                             self.fail(Fail(rpc.request.id))
         finally:
             self.is_processing = False
+            self.update_account_memory()
         self.timers.arm()
 
+    def update_account_memory(self) -> None:
+        """Report the customers' accounts to the memory budget."""
+        size = len(self.decisions.accounts) * ACCOUNT_MEMORY
+        if size != self.account_memory.held_bytes:
+            self.budget.set_held(self.account_memory, size)
+
     def failures_for(self, events: list[Event]) -> list[Action]:
         """Failures for the RPCs of these events, except those for which an attempt was just started."""
         started_ids = {a.id for a in self.decisions.actions if isinstance(a, StartAttempt)}
--- a/corkdeal/net/resp.py
+++ b/corkdeal/net/resp.py
@@ -13,6 +13,8 @@
 MAX_INLINE_VALUE = 64 * 1024  # bytes in a value that is kept within its frame; larger ones are "large values"
 MAX_LINE = 4096  # bytes in a simple string or an error line
 MAX_FRAME = 4 * MAX_INLINE_VALUE  # bytes buffered of one frame
+# A frame that is kept is copied out of a buffer so many times as large, which it would keep as well.
+MIN_COMPACTED_RATIO = 4
 MAX_ITEMS = 64  # items in one frame, including nested ones
 ARRAY, BULK, SIMPLE, ERROR, INTEGER = b"*$+-:"
 UNKNOWN_SIZE = -2  # a size not received yet
@@ -52,6 +54,23 @@
         item = self.items[i]
         return bytes(self.buf[item.start : item.stop])
 
+    def size(self) -> int:
+        """Return the number of bytes from the head of the first item to the end of the last one received."""
+        last = self.items[-1]
+        return (last.end if self.is_last else last.start) - self.items[0].head
+
+    def compacted(self) -> Frame:
+        """Return this frame in a buffer of its own, if it is a small part of the present one."""
+        size = self.size()
+        if len(self.buf) < MIN_COMPACTED_RATIO * size:
+            return self
+        offset = self.items[0].head
+        items = [
+            Item(i.kind, i.head - offset, i.start - offset, i.stop - offset, i.end - offset, i.size)
+            for i in self.items
+        ]
+        return Frame(bytes(memoryview(self.buf)[offset : offset + size]), items, self.is_last)
+
     def is_command(self) -> bool:
         """Return whether this is a non-empty array of bulk strings, none of them null."""
         top, words = self.items[0], self.items[1:]
@@ -69,7 +88,9 @@
     is 0; `next` then continues after the value.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_inline_value: int = MAX_INLINE_VALUE, max_frame: int = MAX_FRAME) -> None:
+        """`max_inline_value` is the size of the longest value kept within its frame, in bytes."""
+        self.max_inline_value, self.max_frame = max_inline_value, max_frame
         self.buf: bytes | bytearray = b""
         self.position = 0  # first byte not yet parsed
         self.frame_start = 0  # first byte of the frame being parsed
@@ -106,6 +127,11 @@
                 i.end - offset,
             )
 
+    def release_buffer(self) -> None:
+        """Let go of a buffer of which everything was returned."""
+        if self.position == len(self.buf):
+            self.buf, self.position, self.frame_start, self.needed = b"", 0, 0, 0
+
     def header(self) -> tuple[int, int]:
         """Return kind and size of the incomplete frame; `UNKNOWN_SIZE` for a size not received yet."""
         return (
@@ -125,7 +151,9 @@
             if self.buf[end - len(tail) : end] != tail:
                 raise MalformedError("value does not end where it should")
         self.position = self.frame_start = end
-        return memoryview(self.buf)[at:end]
+        piece = memoryview(self.buf)[at:end]
+        self.release_buffer()
+        return piece
 
     def next(self) -> Frame | None:
         """Return the next frame, complete or up to a large value; None if more bytes are needed."""
@@ -136,7 +164,7 @@
             at = self.position
             if at >= available:
                 return None
-            if at - self.frame_start > MAX_FRAME:
+            if at - self.frame_start > self.max_frame:
                 raise MalformedError("frame too long")
             kind = buf[at]
             if kind not in KINDS:
@@ -151,7 +179,7 @@
                 size = self.read_length(at + 1, stop)
                 if kind == BULK and size >= 0:
                     start, stop = end, end + size
-                    if size > MAX_INLINE_VALUE:
+                    if size > self.max_inline_value:
                         return self.large_value_frame(Item(kind, at, start, stop, stop + 2, size))
                     end = stop + 2
                     if available < end:
@@ -172,6 +200,7 @@
             self.position = end
         frame = Frame(buf, self.items)
         self.frame_start, self.items_left, self.items, self.items_returned = self.position, 1, [], 0
+        self.release_buffer()
         return frame
 
     def large_value_frame(self, value: Item) -> Frame:
--- a/corkdeal/net/response_stream.py
+++ b/corkdeal/net/response_stream.py
@@ -15,6 +15,7 @@
 
 from ..decisions.events import Status
 from .backend_replies import Reply, check_header, check_value, load_report_at
+from .budget import MAX_READ_SIZE, MIN_READ_SIZE
 from .invariants import count
 from .piece_buffer import Piece, PieceBuffer
 from .resp import Frame, MalformedError, skip_items
@@ -27,7 +28,7 @@
 # s from the last earlier reply by which a reply whose deadline has passed meanwhile must be whole; clients
 # allow 0.5 s, of which the process may be held up for 0.15 s
 OVERDUE_TIME = 0.25
-WRITE_BATCH = 256 * 1024  # bytes passed to a client's transport at once
+WRITE_BATCH = 64 * 1024  # bytes passed to a client's transport at once
 
 
 class ResponseStream:
@@ -138,6 +139,7 @@
     def receive(self, data: bytes) -> None:
         """Take further bytes of the reply from the backend."""
         self.progressed_at = self.conn.pool.now()
+        self.conn.transport.bufferSize = MIN_READ_SIZE if self.budget.is_crowded else MAX_READ_SIZE
         self.conn.parser.feed(data)
         self.advance()
 
@@ -152,6 +154,8 @@
             self.release()
         elif self.is_released:
             self.rpc.client_connection.forward_response(self.rpc)
+            if not self.is_detached:
+                self.budget.answers.set_held(self, self.buffer.size)
         if is_malformed:
             self.conn.fail_malformed(self.attempt)
         elif reply and not self.attempt.is_finished:
--- a/corkdeal/net/rpc.py
+++ b/corkdeal/net/rpc.py
@@ -45,7 +45,7 @@
 
     request: Request
     id: int  # chosen by the client; unique among the open RPCs
-    frame: Frame
+    frame: Frame | None  # the command, until no attempt needs it any more
     timeout_start: int  # start and end of the value of `d` in the parameters
     timeout_stop: int
     deadline: float
@@ -58,9 +58,12 @@
     reply: list[Any] | None = None  # the answer; empty if `response_stream` has it
     response_stream: Any = None  # an answer with a long value, from its first byte until all is written
     body: Any = None  # the command's long value, if it has one
+    held_bytes: int = 0  # counted for it by its client connection, for the memory budget
+    waiting_bytes: int = 0  # of its answer while that waits to be written
 
     def parts(self, timeout: float) -> list[bytes | memoryview]:
         """The command for a backend: unchanged but for `d`, the time that this gateway waits, `timeout` s."""
+        assert self.frame is not None
         buf, params = memoryview(self.frame.buf), self.frame.items[PARAMS]
         first, last = self.frame.items[0], self.frame.items[-1]
         left = buf[params.start : params.start + self.timeout_start]
@@ -72,8 +75,11 @@
         return [*head, buf[params.stop : last.end]]
 
     def release(self) -> None:
-        """Free the command's long value once no attempt can need it any more."""
-        if self.body is not None and self.done and self.attempt is None:
+        """Free the command once no attempt can need it any more."""
+        if not self.done or self.attempt is not None:
+            return
+        self.frame = None
+        if self.body is not None:
             self.body.drop()
 
 
--- a/tests/faults/test_fairness.py
+++ b/tests/faults/test_fairness.py
@@ -8,8 +8,7 @@
 
 from corkdeal.net.resp import encode_command
 
-from .test_memory_limits import run, send_new_names
-from .world import LATE, TIMEOUT, Overload
+from .world import LATE, TIMEOUT, Overload, run, send_new_names
 
 DURATION = 6.0  # s
 SHORT_TIMEOUT = 0.1  # s; requests with little time left have to be answered in time as well
--- a/tests/faults/test_left_clients.py
+++ b/tests/faults/test_left_clients.py
@@ -6,8 +6,7 @@
 
 import pytest
 
-from .test_memory_limits import run, send_new_names
-from .world import Overload, served
+from .world import Overload, run, send_new_names, served
 
 MAX_ATTEMPT_AGE = 0.1  # s after a client has left in which attempts for it may begin
 PIPELINE = 3000  # requests
--- a/tests/faults/test_replaced_processes.py
+++ b/tests/faults/test_replaced_processes.py
@@ -5,8 +5,7 @@
 
 import pytest
 
-from .test_memory_limits import run
-from .world import Overload, reply_small
+from .world import Overload, reply_small, run
 
 
 async def warm_up(world, count=30):
--- a/tests/faults/test_requests_on_refused_connections.py
+++ b/tests/faults/test_requests_on_refused_connections.py
@@ -6,8 +6,7 @@
 
 from corkdeal.net.resp import encode_command
 
-from .test_memory_limits import run, send_new_names
-from .world import LATE, Overload, served
+from .world import LATE, Overload, run, send_new_names, served
 
 PIPELINE = 5  # requests that a new client sends one after another
 
--- a/tests/faults/test_slow_backends.py
+++ b/tests/faults/test_slow_backends.py
@@ -7,8 +7,7 @@
 
 import pytest
 
-from .test_memory_limits import run
-from .world import LATE, Overload, read_command, served
+from .world import LATE, Overload, read_command, run, served
 
 SIZE = 2 << 20  # bytes
 
--- a/tests/faults/world.py
+++ b/tests/faults/world.py
@@ -26,6 +26,8 @@
 START_TIMEOUT = 30.0  # s
 SAMPLE_INTERVAL = 0.02  # s between looks at the memory of the process
 QUIET_INTERVAL = 0.2  # s between the requests of the quiet client
+LIMITS = [96, 192]  # MB of memory; the least that the pages name, and the usual limit
+RECEIVE_BUFFER = 4096  # bytes, of clients that read next to nothing
 TIMEOUT = 1.0  # s that clients wait for an answer
 LATE = 0.5  # s past its time at which an answer counts as lost
 RESET = struct.pack("@ii", 1, 0)  # SO_LINGER that makes a close reset the connection
@@ -315,3 +317,37 @@
 
 def rng(seed):
     return random.Random(seed)
+
+
+def run(test):
+    return asyncio.run(test)
+
+
+async def send_and_stay(world, data, seconds=3.0, receive_buffer=None):
+    """Connect, write what the gateway takes, and stay until the gateway closes or the time is over."""
+    with contextlib.suppress(OSError, TimeoutError):
+        async with asyncio.timeout(seconds):
+            client = await world.client(receive_buffer)
+            if receive_buffer is not None:
+                client.writer.transport.pause_reading()
+            client.writer.write(data)
+            await client.writer.drain()
+            await asyncio.sleep(seconds)
+
+
+async def send_new_names(world, seconds, **more):
+    """Pipeline requests of ever new customers on one connection, and read their answers."""
+    client = await world.client()
+
+    async def send():
+        while True:
+            client.writer.write(b"".join(world.request(**more) for _ in range(100)))
+            await client.writer.drain()
+
+    async def read():
+        while await client.reader.read(1 << 16):
+            pass
+
+    with contextlib.suppress(TimeoutError, ConnectionError):
+        async with asyncio.timeout(seconds):
+            await asyncio.gather(send(), read())
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -27,6 +27,7 @@
 from corkdeal.net import (
     backend_connection,
     backend_replies,
+    client_connection,
     config,
     gateway,
     invariants,
@@ -34,7 +35,7 @@
     resp,
     response_stream,
 )
-from corkdeal.net.budget import Budget
+from corkdeal.net.budget import CONNECTION_MEMORY, REQUEST_MEMORY, Budget
 from corkdeal.net.resp import MAX_INLINE_VALUE, encode_command
 
 from .net_world import SETTINGS, Program, served
@@ -208,6 +209,11 @@
         conn.makeConnection(wire)
         return conn, wire
 
+    def held(self):
+        """The bytes held besides idle connections and customers' accounts."""
+        idle = CONNECTION_MEMORY * len(self.gateway.client_connections)
+        return self.gateway.budget.total - idle - self.gateway.account_memory.held_bytes
+
     def outcomes(self):
         return [e.status for e in self.events if isinstance(e, AttemptEnded)]
 
@@ -377,10 +383,10 @@
         wire.free_space = n * LONG
     wire.take()
     assert without_wait(wire.taken) == without_wait(raw)
-    assert harness.gateway.budget.total >= 3 * LONG  # until its reply, since it may have to be retried
+    assert harness.held() >= 3 * LONG  # until its reply, since it may have to be retried
     conn.dataReceived(served())
     assert bytes(harness.client.taken) == bulk(1) and harness.outcomes() == [Status.OK]
-    assert harness.gateway.budget.total == 0
+    assert harness.held() == 0
 
 
 def test_a_long_command_that_broke_off_is_sent_again_and_counts_as_never_come():
@@ -447,7 +453,7 @@
         assert bytes(harness.client.taken).count(b"\r\n") == 2
         assert (
             not harness.gateway.command_parser.open_ids
-            and harness.gateway.budget.total == 0
+            and harness.held() == 0
             and not harness.reactor.tcpClients
         )
 
@@ -490,11 +496,7 @@
     interrupt(harness)
     assert bytes(harness.client.taken).startswith(reply) and bool(reply) == bool(harness.client.taken)
     assert not name or invariants.counts[name] == 1
-    assert (
-        not harness.gateway.command_parser.open_ids
-        and harness.gateway.budget.total == 0
-        and not harness.gateway.rpcs
-    )
+    assert not harness.gateway.command_parser.open_ids and harness.held() == 0 and not harness.gateway.rpcs
     harness.reactor.advance(60.0)  # no timer of the command has any further effect
     assert not harness.reactor.tcpClients
 
@@ -503,10 +505,10 @@
     harness, raw = GatewayWithClient(), write()
     harness.client_connection.dataReceived(raw[:LONG])
     harness.client_connection.stop_attempts()
-    assert harness.gateway.budget.total > 0
+    assert harness.held() > 0
     harness.client_connection.dataReceived(raw[LONG:])
     assert bytes(harness.client.taken) == b"-BUSY\r\n"
-    assert harness.gateway.budget.total == 0 and not harness.gateway.command_parser.open_ids
+    assert harness.held() == 0 and not harness.gateway.command_parser.open_ids
 
 
 def test_an_attempt_of_a_request_that_is_answered_does_not_begin_once_its_connection_comes_up():
@@ -641,7 +643,7 @@
     budget = harness.gateway.budget
     holder = BudgetHolder(budget, body=True)  # an older one
     harness.client_connection.dataReceived(write(1)[:LONG])
-    budget.set_held(holder, budget.high_mark - harness.client_connection.body.held_bytes)
+    budget.set_held(holder, budget.high_mark - budget.total)
     harness.client_connection.dataReceived(write(1)[LONG:])
     assert budget.is_full and harness.gateway.rpcs
     assert not harness.client_connection.paused and not harness.client.reading_paused
@@ -669,3 +671,68 @@
         self.ask(client, rid=2)
         self.world.next().conn.send(served())
         self.assertEqual(client.read(), [b"v"])
+
+
+def test_what_a_connection_holds_is_counted_and_freed():
+    harness = GatewayWithClient()
+    assert harness.held() == 0
+    harness.client_connection.dataReceived(b"*3\r\n$8\r\nAPI.READ\r\n$16\r\n0000")
+    assert harness.held() == 27
+    harness.client_connection.dataReceived(b"000000000007\r\n$3\r\nbad\r\n")  # the whole command is answered
+    assert harness.held() == 0
+    conn, _ = harness.ask(1)
+    assert harness.held() >= REQUEST_MEMORY
+    conn.dataReceived(b"*3\r\n$9\r\nincom")
+    assert conn.held_bytes == 13
+    harness.client.free_space = 0
+    conn.dataReceived(b"plet\r\n$-1\r\n$-1\r\n")
+    assert (harness.held(), harness.gateway.budget.waiting_answers) == (15, 0)  # not taken by the client yet
+    harness.client.take()
+    assert harness.held() == 0
+
+
+def test_answers_wait_for_their_turn_only_within_their_part_of_the_budget():
+    harness = GatewayWithClient()
+    first, _ = harness.ask(1)
+    second, _ = harness.ask(2)
+    third, _ = harness.ask(3)
+    budget = harness.gateway.budget
+    second.dataReceived(served(b"v" * 1000))
+    assert budget.waiting_answers == 1009
+    budget.max_waiting_answers = 2000
+    third.dataReceived(served(b"v" * 1000))
+    first.dataReceived(served(b"v" * 2000))  # it need not wait
+    assert bytes(harness.client.taken) == bulk(2000) + bulk(1000) + client_connection.NO_MEMORY_REPLY
+    assert invariants.counts["answer_without_memory"] == 1
+    assert (budget.waiting_answers, harness.held()) == (0, 0)
+
+
+def test_without_memory_a_request_is_rejected_and_a_reply_that_is_not_whole_ends():
+    harness = GatewayWithClient()
+    conn, _ = harness.ask(1)
+    holder = BudgetHolder(harness.gateway.budget)
+    harness.gateway.budget.set_held(holder, harness.gateway.budget.limit)
+    harness.client_connection.dataReceived(
+        encode_command(b"API.READ", b"%016x" % 7, b"%016x" % 2, b"c=look,t=large,d=3000")
+    )
+    assert invariants.counts["request_without_memory"] == 1
+    conn.dataReceived(b"*3\r\n$9\r\nincom")
+    assert harness.outcomes()[0] is Status.CANCELLED and conn.ended
+    assert invariants.counts["reply_without_memory"] == 1
+
+
+def test_a_pipeline_behind_a_pending_request_is_read_only_up_to_its_limit():
+    harness = GatewayWithClient()
+    harness.ask(1)
+    for _ in range(client_connection.MAX_PENDING_REPLIES - 1):
+        assert not harness.client_connection.paused
+        harness.client_connection.dataReceived(PING)  # not only requests count
+    assert harness.client_connection.paused
+    crowded = gateway.client_connection.ClientConnection(harness.gateway)
+    crowded.makeConnection(FakeTransport())
+    harness.gateway.budget.set_held(BudgetHolder(harness.gateway.budget), harness.gateway.budget.crowded_mark)
+    crowded.dataReceived(encode_command(b"API.READ", b"%016x" % 7, b"%016x" % 2, b"c=look,t=large,d=3000"))
+    for _ in range(client_connection.MAX_PENDING_WHEN_CROWDED - 1):
+        assert not crowded.paused
+        crowded.dataReceived(PING)
+    assert crowded.paused
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -278,7 +278,12 @@
     def add_request(self, connection):
         """Add a request to the connection that has no reply yet."""
         connection.has_sent_command = True
-        connection.enqueue(types.SimpleNamespace(reply=None, response_stream=None, attempt=None))
+        frame = types.SimpleNamespace(size=lambda: 100)
+        connection.enqueue(
+            types.SimpleNamespace(
+                reply=None, response_stream=None, attempt=None, frame=frame, held_bytes=0, waiting_bytes=0
+            )
+        )
         return connection.pending_replies[-1]
 
     def serve_request(self, connection):
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -6,7 +6,8 @@
 import socket
 import time
 
-from corkdeal.net.resp import MAX_INLINE_VALUE, MAX_VALUE, encode_command
+from corkdeal.net.client_connection import MAX_SHORT_VALUE
+from corkdeal.net.resp import MAX_VALUE, encode_command
 
 from .net_world import ControlledProgram, FakeServices, Program, served
 from .ports import reserve_port
@@ -222,7 +223,7 @@
         client.sock.settimeout(1.0)
         with self.assertRaises(TimeoutError):  # otherwise its answers would fill the gateway's memory
             while sent < 200_000_000:
-                sent += client.sock.send(encode_command(b"ECHO", b"x" * MAX_INLINE_VALUE))
+                sent += client.sock.send(encode_command(b"ECHO", b"x" * MAX_SHORT_VALUE))
         other = self.client()
         other.send(encode_command(b"PING"))
         self.assertEqual(other.read(), [b"PONG"])
--- a/tests/test_requests_behind_long_answers.py
+++ b/tests/test_requests_behind_long_answers.py
@@ -70,7 +70,7 @@
     is_answered_late = end in (ENDS["drained"], ENDS["stalled until its deadline"]) and not answers_first
     assert second == (FAILED if is_answered_late else bulk(1))
     assert not harness.gateway.rpcs and not harness.client_connection.pending_replies
-    assert harness.gateway.budget.total == 0 and not invariants.counts["answer_cut_off"]
+    assert harness.held() == 0 and not invariants.counts["answer_cut_off"]
 
 
 def test_a_long_answer_that_breaks_off_before_the_client_has_any_of_it_is_retried_as_its_class_permits():
@@ -99,7 +99,7 @@
     expected = [VALUE] * 4
     expected[broken] = FAILED
     assert harness.taken() == b"".join(expected)
-    assert not harness.gateway.rpcs and harness.gateway.budget.total == 0
+    assert not harness.gateway.rpcs and harness.held() == 0
 
 
 @pytest.mark.parametrize("is_whole", [False, True])
@@ -246,9 +246,9 @@
     conn.dataReceived(HEAD + VALUE[:HALF])
     if is_whole:
         conn.dataReceived(VALUE[HALF:] + TAIL)
-    assert harness.gateway.budget.total > 0
+    assert harness.held() > 0
     harness.client_connection.connectionLost()
-    assert harness.gateway.budget.total == 0 and not harness.gateway.rpcs
+    assert harness.held() == 0 and not harness.gateway.rpcs
     assert Status.CANCELLED in harness.outcomes() or is_whole
 
 
@@ -273,12 +273,12 @@
     for start in range(0, len(value), MAX_INLINE_VALUE):
         conn.dataReceived((HEAD if not start else b"") + value[start : start + MAX_INLINE_VALUE])
     conn.dataReceived(TAIL)
-    held = [harness.gateway.budget.total]
+    held = [harness.held()]
     while harness.client.dataBuffer:
         free_space = 1000
         harness.client.take()
         harness.client.free_space = free_space
-        held.append(harness.gateway.budget.total)
+        held.append(harness.held())
         assert len(harness.client.dataBuffer) <= response_stream.WRITE_BATCH + MAX_INLINE_VALUE
     assert harness.taken() == value + b"+PONG\r\n"
     assert held == sorted(held, reverse=True) and held[-1] == 0
@@ -300,7 +300,7 @@
         if takes:
             harness.client.dataBuffer = harness.client.dataBuffer[1000:]
         harness.gateway.descriptors.sweep()
-    assert harness.gateway.budget.total > 0 and len(harness.taken()) < len(value)
+    assert harness.held() > 0 and len(harness.taken()) < len(value)
     assert harness.client.aborted is not takes
 
 
