Handle commands in slices of time, in turn over all client connections

Cause: all commands of a read, up to 650 requests, were handled in one go, for every connection that had some, before anything else got its turn.

Change: a connection handles commands for 2 ms, what is left waits in a queue, of which an iteration handles 10 ms in turn; where more was read in that time, it waits there too. Time in the queue counts as waited, and a request whose time is over is rejected (before: only with recovery on). Commands in the queue are answered before a shutdown ends.

--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import socket
 from collections import deque
 from typing import Any
@@ -21,6 +22,7 @@
 from .connection_memory import ConnectionMemory
 from .descriptors import MIN_SILENT_TIME
 from .invariants import count, holds
+from .parsing_queue import SLICE_TIME
 from .request_stream import RequestStream
 from .resp import Frame, MalformedError, Parser
 from .response_stream import ResponseStream
@@ -72,6 +74,9 @@
     def __init__(self, gateway: Any) -> None:
         self.gateway, self.parser = gateway, Parser(MAX_SHORT_VALUE, MAX_COMMAND_SIZE)
         self.memory = ConnectionMemory(gateway.budget, self.buffered_bytes)
+        self.parsing_queue = gateway.parsing_queue
+        self.read_at = 0.0  # when the input that is being parsed was read
+        self.has_unparsed_input = False  # whether it may hold commands that wait for their turn
         self.idle = gateway.descriptors.idle
         self.stalled_readers = gateway.descriptors.stalled_readers
         self.pending_replies: deque[RPC | ImmediateReply] = deque()  # in command order
@@ -110,26 +115,33 @@
             self.reply_and_drop(TOO_MANY_CLIENTS, CloseReason.DESCRIPTORS)
 
     def rawDataReceived(self, data: bytes) -> None:
-        """Parse received bytes and write all immediate replies together.
-
-        Malformed input ends this connection only.
-        """
+        """Handle received bytes, at once or when this connection's turn comes."""
         if self.terminating:
             return
-        now = self.seen_open_at = self.gateway.now()
+        now = self.read_at = self.seen_open_at = self.gateway.now()
         if self.gateway.recovery is not None:
             self.unread_time = self.gateway.recovery.unread_time(self.transport.getHandle(), now)
-        command_started_at = self.command_started_at if self.parser.has_partial_frame else now
+        if not self.parser.has_partial_frame:
+            self.command_started_at = now
+        self.parser.feed(data)
+        if self.parsing_queue.has_time():
+            self.parse_commands()
+            self.parsing_queue.record_use(self.gateway.now() - now)
+        else:
+            self.has_unparsed_input = True
+            self.update_reading()
+
+    def parse_commands(self, slice_time: float = SLICE_TIME) -> None:
+        """Handle the commands that were read, and write all immediate replies together.
+
+        After `slice_time` the rest waits for the next turn. Malformed input ends this connection only.
+        """
+        if self.terminating or self not in self.gateway.client_connections:
+            return
+        self.has_unparsed_input = False
         self.is_parsing = True
         try:
-            self.parser.feed(data)
-            can_parse = not self.parser.value_left or self.receive_body()
-            while can_parse and not self.terminating and (frame := self.parser.next()) is not None:
-                if frame.is_last and self.body is None:
-                    self.handle_command(frame, now)
-                else:
-                    can_parse = self.handle_large_command(frame, now)
-                command_started_at = now
+            self.handle_commands(slice_time)
         except MalformedError as error:
             count("client_connection_malformed")
             self.drop_body()
@@ -137,8 +149,25 @@
             self.reply_and_close(reply, CloseReason.MALFORMED)
         finally:
             self.is_parsing = False
-        self.command_started_at = command_started_at
         self.flush()
+        self.update_reading()
+
+    def handle_commands(self, slice_time: float) -> None:
+        """Handle the commands that were read, until the time is over or replies have to be taken first."""
+        started_at = now = self.gateway.now()
+        can_parse = not self.parser.value_left or self.receive_body()
+        while can_parse and not self.terminating:
+            if now - started_at >= slice_time or self.is_blocked():
+                self.has_unparsed_input = self.parser.has_partial_frame
+                return
+            if (frame := self.parser.next()) is None:
+                return
+            if frame.is_last and self.body is None:
+                self.handle_command(frame, now)
+            else:
+                can_parse = self.handle_large_command(frame, now)
+            self.command_started_at = now
+            now = self.gateway.now()
 
     def handle_command(self, frame: Frame, now: float) -> None:
         """Handle one complete command; commands other than API.READ and API.WRITE are answered here."""
@@ -148,7 +177,7 @@
         name = frame.text(1).upper()
         if name in (READ, WRITE):
             try:
-                rpc = self.gateway.command_parser.parse(frame, now, self.unread_time)
+                rpc = self.gateway.command_parser.parse(frame, now, self.waited_time(now))
             except BadRequestError as error:
                 return self.reject_bad_request(error)
             rpc.frame = frame.compacted()
@@ -165,6 +194,11 @@
         else:
             self.queue_reply(b"-ERR unknown command\r\n")
 
+    def waited_time(self, now: float) -> float:
+        """Return for how many seconds a command that is parsed now had arrived before, as far as is known."""
+        in_queue = now - self.read_at
+        return self.unread_time + (in_queue if in_queue > SLICE_TIME else 0.0)
+
     def submit(self, rpc: RPC) -> None:
         """Pass a complete RPC to the gateway.
 
@@ -314,7 +348,7 @@
             self.is_next(rpc)
             and len(self.pending_replies) == 1
             and self.body is None
-            and not (self.is_parsing or vectored_write.pending(self.transport))
+            and not (self.is_parsing or self.has_unparsed_input or vectored_write.pending(self.transport))
         )
 
     def is_next(self, rpc: RPC) -> bool:
@@ -456,13 +490,11 @@
         return self.pending_replies[0].reply is None
 
     def update_reading(self) -> None:
-        """Pause or resume reading from the client.
-
-        It is paused while the send buffer is full, too many replies are pending, a large value waits for
-        memory, or a large reply is being written that is not whole yet.
-        """
-        waits_for_memory = self.body is not None and self.body.waiting_since is not None
-        stop = self.at_reply_limit or self.transport.producerPaused or waits_for_memory or self.is_streaming
+        """Pause or resume reading from the client, and queue unparsed input unless it is blocked, too."""
+        is_blocked = self.is_blocked()
+        stop = is_blocked or self.has_unparsed_input
+        if self.has_unparsed_input and not is_blocked:
+            self.parsing_queue.add(self)
         if stop is self.paused:
             return
         if stop:
@@ -472,6 +504,16 @@
             super().resumeProducing()
             self.gateway.descriptors.paused.discard(self)
 
+    def is_blocked(self) -> bool:
+        """Whether nothing more is to be read or parsed for now.
+
+        So it is while the send buffer is full, too many replies are pending, a large value waits for memory,
+        or a large reply is being written that is not whole yet.
+        """
+        body, is_incomplete = self.body, self.parser.value_left > 0
+        waits_for_memory = body is not None and is_incomplete and body.waiting_since is not None
+        return self.at_reply_limit or self.transport.producerPaused or waits_for_memory or self.is_streaming
+
     def abort_response(self) -> None:
         """Close the connection because a response that was partly sent can't be completed.
 
@@ -500,6 +542,7 @@
         """Free what was read and will not be parsed."""
         self.parser = Parser(MAX_SHORT_VALUE, MAX_COMMAND_SIZE)
         self.clearLineBuffer()
+        self.has_unparsed_input = False
         self.memory.update()
 
     def end_lingering(self, previous_untaken: int, stalled_time: float) -> None:
@@ -553,6 +596,8 @@
         Those are rejected when they are read. The kill loses what a client has not taken yet, or not sent
         completely, as well.
         """
+        if self.has_unparsed_input and not self.is_blocked():
+            self.parse_commands(slice_time=math.inf)
         if vectored_write.pending(self.transport):
             count("answer_not_taken")
         elif self.is_streaming:
@@ -607,7 +652,7 @@
 
     def has_unread_bytes(self) -> bool:
         """Return whether there are unread bytes, whose request would be lost by closing now."""
-        if self._buffer:  # read and not parsed, since reading is paused
+        if self._buffer or self.has_unparsed_input:  # read and not parsed
             return True
         try:
             return bool(self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
@@ -701,6 +746,7 @@
         self.gateway.client_connections.discard(self)
         self.idle.discard(self)
         self.gateway.descriptors.paused.discard(self)
+        self.parsing_queue.discard(self)
         self.stalled_readers.discard(self)
         self.abandon_pending()
         self.memory.close()
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -56,6 +56,7 @@
 from .loop_lateness import LoopLateness
 from .manual_overrides import ManualOverrides
 from .operators import Operators
+from .parsing_queue import ParsingQueue
 from .peering import Peering
 from .resp import encode_command, parse_load_report
 from .response_stream import ResponseStream
@@ -95,6 +96,7 @@
         self.command_parser = CommandParser(self.settings)
         self.client_connections: set[client_connection.ClientConnection] = set()
         self.lateness = LoopLateness()
+        self.parsing_queue = ParsingQueue(reactor, self.now)
         self.budget = Budget(budget_for(config.memory))
         self.account_memory = AccountMemory()
         self.descriptors = Descriptors(config.sockets, self.client_connections, self.now)
@@ -380,7 +382,7 @@
             rpc.request = dataclasses.replace(
                 rpc.request, timeout=max(0.0, self.shutdown.answer_deadline - self.now())
             )
-        if (self.recovery is not None or self.shutdown.is_draining) and rpc.request.timeout <= 0:
+        if rpc.request.timeout <= 0:
             count("request_too_old")
             return self.reject(Reject(rpc.request.id, 0.0))
         self.handle_event(rpc.request)
--- a/corkdeal/net/idle_connections.py
+++ b/corkdeal/net/idle_connections.py
@@ -48,6 +48,7 @@
     """The part of a client connection that is used here."""
 
     pending_replies: Any  # pending replies; true if there are any
+    has_unparsed_input: bool  # whether commands that were read wait for their turn
     body: Any  # a large value being received, which has its own timeouts, or None
     parser: ParserState
     terminating: bool  # whether it is being closed and gets no further replies
@@ -155,6 +156,7 @@
         or connection.terminating
         or connection.half_closed
         or connection.body is not None
+        or connection.has_unparsed_input
     ):
         return None
     if connection.parser.has_partial_frame:
--- a/tests/faults/test_fairness.py
+++ b/tests/faults/test_fairness.py
@@ -61,6 +61,7 @@
             while True:
                 client.writer.write(data)
                 await client.writer.drain()
+                await asyncio.sleep(0)
 
         async def read():
             while await client.reader.read(1 << 16):
--- a/tests/faults/world.py
+++ b/tests/faults/world.py
@@ -343,6 +343,7 @@
         while True:
             client.writer.write(b"".join(world.request(**more) for _ in range(100)))
             await client.writer.drain()
+            await asyncio.sleep(0)  # `drain` alone lets no other task run while the socket takes all
 
     async def read():
         while await client.reader.read(1 << 16):
