--- a/corkdeal/decisions/accounts.py
+++ b/corkdeal/decisions/accounts.py
@@ -142,7 +142,7 @@
 
     def is_replenished(self, now: float) -> bool:
         """Return whether the account, if dropped now and recreated, would admit about what it does now."""
-        if self.in_flight or self.plan.hard_limit_rate or self.hard_limit_level:
+        if self.in_flight or self.plan.hard_limit_rate:
             return False
         if any(ledger.received_share or ledger.received_units for ledger in self.ledgers.values()):
             return False
--- a/tests/decisions/test_accounts.py
+++ b/tests/decisions/test_accounts.py
@@ -136,7 +136,9 @@
     """Create accounts that have each spent one unit."""
     for customer in range(count):
         assert accounts.make_room(now)
-        accounts.create(customer, 0, 0, 1, now).spend(1.0)
+        account = accounts.create(customer, 0, 0, 1, now)
+        account.spend(1.0)
+        account.hard_limit_level -= 1.0  # which the lifecycle of a request does for every plan
 
 
 def test_at_the_limit_the_longest_unused_replenished_account_makes_room():
