Answer the requests of newcomers under overload instead of closing over them

Cause: a connection accepted while the event loop was late got one error line and was closed at once, whether or not requests lay in its socket: the close resets it, and all requests behind the first had no answer. The same at a full descriptor table, and for a valid request read behind the 16th bad one. Evidence: 128 newcomers shed in that process, no answer cut off, and a wait as long as the loop was late; the other closes need bad requests or 2 s of idleness before.

Change: such connections stay. While the overload lasts their requests are answered -BUSY (request_shed), then they are served. At a full table one that has sent something is answered -BUSY and closed when idle, on one of a few descriptors of the backends' part. After 16 bad requests what was read behind them is answered, up to the next bad one.

--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -76,6 +76,9 @@
         self.memory = ConnectionMemory(gateway.budget, self.buffered_bytes)
         self.parsing_queue = gateway.parsing_queue
         self.read_at = 0.0  # when the input that is being parsed was read
+        self.is_shed = False  # whether it was accepted on overload
+        self.ends_after_input = False  # whether it ends once all that was read is answered
+        self.is_refusing = False  # whether it is about to end, and rejects the requests that come before
         self.has_unparsed_input = False  # whether it may hold commands that wait for their turn
         self.idle = gateway.descriptors.idle
         self.stalled_readers = gateway.descriptors.stalled_readers
@@ -99,7 +102,11 @@
         self.close_reason: CloseReason | None = None  # the first cause of its end
 
     def connectionMade(self) -> None:
-        """Register the connection, or reject it on overload or when no descriptor can be freed for it."""
+        """Register the connection.
+
+        On overload its requests are rejected for as long as that lasts. If no descriptor can be freed for it,
+        what it has sent is rejected before it is closed, unless there are many such connections.
+        """
         self.transport.setTcpNoDelay(True)
         self.transport.bufferSize = MIN_READ_SIZE  # of one read
         self.memory.update()
@@ -109,9 +116,15 @@
         self.idle.update(self)
         if self.gateway.lateness.is_overloaded and not self.gateway.shutdown.is_draining:
             count("client_connection_shed")
-            self.reply_and_drop(TOO_MANY_CLIENTS, CloseReason.SHED)
-        elif not self.gateway.descriptors.admit_client_connection():
-            count("client_connection_refused")
+            self.is_shed = True
+        if self.gateway.descriptors.admit_client_connection():
+            return
+        count("client_connection_refused")
+        if self.has_unread_bytes() and self.gateway.descriptors.may_keep_refused():
+            self.is_refusing = True
+            self.gateway.descriptors.refused.add(self)
+            self.close_when_idle(CloseReason.DESCRIPTORS)
+        else:
             self.reply_and_drop(TOO_MANY_CLIENTS, CloseReason.DESCRIPTORS)
 
     def rawDataReceived(self, data: bytes) -> None:
@@ -149,6 +162,9 @@
             self.reply_and_close(reply, CloseReason.MALFORMED)
         finally:
             self.is_parsing = False
+        if self.ends_after_input and not self.has_unparsed_input:
+            self.drop_body()
+            self.terminating = True
         self.flush()
         self.update_reading()
 
@@ -184,7 +200,7 @@
             self.enqueue(rpc)
             self.submit(rpc)
         elif name == b"PING" and len(frame.items) == 2:
-            self.queue_reply(STANDBY_REPLY if self.gateway.operators.standby else b"+PONG\r\n")
+            self.queue_reply(self.ping_reply())
         elif name in (b"PING", b"ECHO") and len(frame.items) == 3:
             self.queue_reply(b"$%d\r\n%b\r\n" % (frame.items[2].size, frame.text(2)))
         elif name in (b"CLIENT", b"SELECT"):
@@ -194,23 +210,39 @@
         else:
             self.queue_reply(b"-ERR unknown command\r\n")
 
+    def ping_reply(self) -> bytes:
+        """Return the reply to a PING, by which load balancers tell whether to send requests here."""
+        if self.gateway.operators.standby:
+            return STANDBY_REPLY
+        return TOO_MANY_CLIENTS if self.is_refusing or self.is_shedding() else b"+PONG\r\n"
+
     def waited_time(self, now: float) -> float:
         """Return for how many seconds a command that is parsed now had arrived before, as far as is known."""
         in_queue = now - self.read_at
         return self.unread_time + (in_queue if in_queue > SLICE_TIME else 0.0)
 
     def submit(self, rpc: RPC) -> None:
-        """Pass a complete RPC to the gateway.
-
-        It is rejected if its client disconnected before it was read, or the memory budget is used up.
-        """
-        if not self.attempts_stopped and self.gateway.budget.is_exhausted:
-            count("request_without_memory")
-        if self.attempts_stopped or self.gateway.budget.is_exhausted:
-            rpc.reply = [self.gateway.reject_early(rpc, 0.0)]
-            rpc.release()
-        else:
-            self.gateway.accept_rpc(rpc)
+        """Pass a complete RPC to the gateway, or reject it."""
+        if (counter := self.rejection_counter()) is None:
+            return self.gateway.accept_rpc(rpc)
+        count(counter)
+        rpc.reply = [self.gateway.reject_early(rpc, 0.0)]
+        rpc.release()
+
+    def rejection_counter(self) -> str | None:
+        """Return the counter of the reason to reject a request of this client now, or None."""
+        if self.attempts_stopped:
+            return "request_after_close"  # its client disconnected before it was read
+        if self.is_refusing:
+            return "request_refused"
+        if self.is_shedding():
+            return "request_shed"
+        return "request_without_memory" if self.gateway.budget.is_exhausted else None
+
+    def is_shedding(self) -> bool:
+        """Return whether the gateway is overloaded, as it was when it accepted this connection."""
+        self.is_shed = self.is_shed and self.gateway.lateness.is_overloaded
+        return self.is_shed
 
     def enqueue(self, rpc: RPC) -> None:
         """Queue an RPC for its reply."""
@@ -232,14 +264,20 @@
         return MAX_PENDING_WHEN_CROWDED if self.gateway.budget.is_crowded else MAX_PENDING_REPLIES
 
     def reject_bad_request(self, error: BadRequestError) -> None:
-        """Reply with the error; close the connection at `MAX_BAD_REQUESTS` bad requests."""
+        """Reply with the error; `MAX_BAD_REQUESTS` end the connection.
+
+        Valid requests that were read with them are answered before, up to the next bad one.
+        """
         count("request_malformed")
         self.bad_request_count += 1
-        reply = b"-ERR %b\r\n" % str(error).encode()
-        if self.bad_request_count < MAX_BAD_REQUESTS:
-            self.queue_reply(reply)
-        else:
-            self.reply_and_close(reply, CloseReason.BAD_REQUESTS)
+        if self.bad_request_count > MAX_BAD_REQUESTS:
+            self.drop_body()
+            self.terminating = True
+            return
+        self.queue_reply(b"-ERR %b\r\n" % str(error).encode())
+        if self.bad_request_count == MAX_BAD_REQUESTS:
+            self.set_close_reason(CloseReason.BAD_REQUESTS)
+            self.is_refusing = self.ends_after_input = True
 
     def handle_large_command(self, frame: Frame, now: float) -> bool:
         """Handle part of a command with a large value; return whether the next frame can be parsed."""
@@ -250,7 +288,7 @@
                 self.enqueue(rpc)
                 rpc.body = self.body = RequestStream(self.gateway.budget, self, rpc)
                 self.body.start()
-                if (wait := self.gateway.early_retry_after(rpc.request)) is not None:
+                if (wait := self.early_retry_after(rpc)) is not None:
                     count("refused_at_head")
                     self.reject_body(self.body, wait)
             except BadRequestError as error:
@@ -267,6 +305,12 @@
             return True
         return self.receive_body()
 
+    def early_retry_after(self, rpc: RPC) -> float | None:
+        """Return the Retry-After in s if a command can be rejected by its head alone, else None."""
+        if self.is_refusing or self.is_shedding():
+            return 0.0
+        return self.gateway.early_retry_after(rpc.request)
+
     def receive_body(self) -> bool:
         """Take the available bytes of a large value; return whether the value is complete."""
         while (piece := self.parser.piece()) is not None:
@@ -746,6 +790,7 @@
         self.gateway.client_connections.discard(self)
         self.idle.discard(self)
         self.gateway.descriptors.paused.discard(self)
+        self.gateway.descriptors.refused.discard(self)
         self.parsing_queue.discard(self)
         self.stalled_readers.discard(self)
         self.abandon_pending()
--- a/corkdeal/net/descriptors.py
+++ b/corkdeal/net/descriptors.py
@@ -11,6 +11,8 @@
 from .stalled_readers import StalledReaders
 
 RESERVED = 24  # descriptors for the log, discovery, peers and connections being closed
+# of the descriptors; for connections that find none free, until their first requests are rejected
+REFUSED_FRACTION = 1 / 32
 COMMAND_TIMEOUT = 2.5  # s within which a command must be complete; clients are promised 2 s
 IDLE_TIMEOUT = 10.0  # s without a pending RPC after which a client connection is closed
 # s without a pending RPC after which a client connection may be evicted, or is closed while many are open;
@@ -30,6 +32,7 @@
         self.idle = IdleConnections()
         self.stalled_readers = StalledReaders(now)
         self.paused: set[Any] = set()  # client connections from which reading is paused
+        self.refused: set[Any] = set()  # client connections that found no descriptor free
         self.pool: Any = None
 
     def reserved_for_backends(self) -> int:
@@ -43,6 +46,15 @@
         )
         return len(self.client_connections) + reserved_for_backends <= self.limit or self.evict()
 
+    def may_keep_refused(self) -> bool:
+        """Return whether a connection that found no descriptor free may stay until its requests are rejected.
+
+        It has one of those that are reserved for backends; few enough that backends always find some.
+        """
+        backends = len(self.pool.open) + len(self.pool.closing)
+        has_free = len(self.client_connections) + backends + self.limit // 16 < self.limit
+        return has_free and len(self.refused) < self.limit * REFUSED_FRACTION
+
     def admit_backend_connection(self) -> bool:
         """Return whether one more backend connection may be opened; may evict a client connection for it."""
         backends = len(self.pool.open) + len(self.pool.closing)
