Run no id twice that comes again after its client has left

Cause: an id was free again with the answer, or as soon as its client was gone, while the attempt was still out at a backend or had run.

Change: an id stays taken until no attempt of its request is in flight, and for 10 s more if the request may have run and its class may not simply be repeated. The ids kept are limited to 0.03 of the memory budget and counted in it; it is answered -ERR another request has this id.

--- a/corkdeal/net/budget.py
+++ b/corkdeal/net/budget.py
@@ -32,6 +32,8 @@
 REQUEST_MEMORY = 3 << 10  # bytes of a pending request without its command, with its records and timers
 ACCOUNT_MEMORY = 800  # bytes of one customer's account, with its place in tables
 ACCOUNT_FRACTION = 0.2  # of the budget; for customers' accounts
+ID_MEMORY = 200  # bytes of the id of a request that has ended
+ID_FRACTION = 0.03  # of the budget; for such ids
 MIN_READ_SIZE = 8 << 10  # bytes read at once from one client
 MAX_READ_SIZE = 64 << 10
 READ_ROOM_FRACTION = 1 / 8  # of the free bytes; for one read of each incomplete body
@@ -47,6 +49,11 @@
     return int(budget_for(limit) * ACCOUNT_FRACTION / ACCOUNT_MEMORY)
 
 
+def max_kept_ids(limit: int) -> int:
+    """The number of ids of ended requests to keep, given the memory limit of the process."""
+    return int(budget_for(limit) * ID_FRACTION / ID_MEMORY)
+
+
 class Holder(Protocol):
     """Something that holds a part of the budget."""
 
--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -339,7 +339,7 @@
             if body.rpc is not None:
                 self.pending_replies.remove(body.rpc)
                 self.memory.remove(body.rpc)
-                self.gateway.command_parser.open_ids.discard(body.rpc.id)
+                self.gateway.request_ids.release(body.rpc.id)
             body.finish()
             body.drop()
             self.memory.update()
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -46,7 +46,14 @@
 from ..decisions.settings import Effect
 from . import client_connection, client_port, invariants
 from .backend_connection import Attempt, BackendPool, Reply
-from .budget import ACCOUNT_MEMORY, Budget, budget_for, max_accounts
+from .budget import (
+    ACCOUNT_MEMORY,
+    ID_MEMORY,
+    Budget,
+    budget_for,
+    max_accounts,
+    max_kept_ids,
+)
 from .config import Config, ConfigError, format_address, load_config
 from .descriptors import Descriptors
 from .discovery_snapshot import DiscoverySnapshot
@@ -58,6 +65,7 @@
 from .operators import Operators
 from .parsing_queue import ParsingQueue
 from .peering import Peering
+from .request_ids import RequestIds
 from .resp import encode_command, parse_load_report
 from .response_stream import ResponseStream
 from .rpc import RPC, CommandParser
@@ -79,8 +87,8 @@
 
 
 @dataclasses.dataclass(slots=True, eq=False)
-class AccountMemory:
-    """The memory of all customers' accounts, a holder of the memory budget."""
+class NameMemory:
+    """The memory of records for names that clients choose, accounts and ids; a holder of the budget."""
 
     held_bytes: int = 0
 
@@ -93,12 +101,13 @@
         self.clock_offset = time.time() - time.monotonic()  # wall time at the start; later steps don't matter
         self.decisions = Decisions(self.settings, config.seed)
         self.decisions.limit_accounts(max_accounts(config.memory))
-        self.command_parser = CommandParser(self.settings)
+        self.request_ids = RequestIds(self.now, max_kept_ids(config.memory))
+        self.command_parser = CommandParser(self.settings, self.request_ids)
         self.client_connections: set[client_connection.ClientConnection] = set()
         self.lateness = LoopLateness()
         self.parsing_queue = ParsingQueue(reactor, self.now)
         self.budget = Budget(budget_for(config.memory))
-        self.account_memory = AccountMemory()
+        self.name_memory = NameMemory()
         self.descriptors = Descriptors(config.sockets, self.client_connections, self.now)
         self.pool = BackendPool(
             reactor,
@@ -315,7 +324,7 @@
         self.operators.sync_overrides()
         self.pool.sweep()
         self.descriptors.sweep()
-        self.update_account_memory()
+        self.update_name_memory()
 
     def log_counters(self) -> None:
         """Log the counters and the rejections by cause, if they changed."""
@@ -359,14 +368,14 @@
                             self.fail(Fail(rpc.request.id))
         finally:
             self.is_processing = False
-            self.update_account_memory()
+            self.update_name_memory()
         self.timers.arm()
 
-    def update_account_memory(self) -> None:
-        """Report the customers' accounts to the memory budget."""
-        size = len(self.decisions.accounts) * ACCOUNT_MEMORY
-        if size != self.account_memory.held_bytes:
-            self.budget.set_held(self.account_memory, size)
+    def update_name_memory(self) -> None:
+        """Report the customers' accounts and the ids that are kept to the memory budget."""
+        size = len(self.decisions.accounts) * ACCOUNT_MEMORY + len(self.request_ids.kept_until) * ID_MEMORY
+        if size != self.name_memory.held_bytes:
+            self.budget.set_held(self.name_memory, size)
 
     def failures_for(self, events: list[Event]) -> list[Action]:
         """Failures for the RPCs of these events, except those for which an attempt was just started."""
@@ -390,7 +399,7 @@
     def reject_early(self, rpc: RPC, retry_after: float) -> bytes:
         """Reject an RPC before it is handed to the decisions; returns the encoded answer."""
         rpc.done = True
-        self.command_parser.open_ids.discard(rpc.id)
+        self.request_ids.release(rpc.id)
         self.counters["busy"] += 1
         return self.encode_rejection(min(retry_after, self.settings.max_retry_after))
 
@@ -458,6 +467,7 @@
         rpc.attempt = None
         if rpc.first_run_at is None and reply.status not in NEVER_RAN:
             rpc.first_run_at = attempt.decided_at
+        self.release_id(rpc)
         rpc.release()
         if reply.status is Status.OK and not rpc.done:
             self.counters["success"] += 1
@@ -550,10 +560,18 @@
         """Remove an RPC from the open ones, for its final answer; None if it is not open."""
         if (rpc := self.rpcs.pop(rid, None)) is not None:
             rpc.done = True
-            self.command_parser.open_ids.discard(rpc.id)
+            self.release_id(rpc)
             rpc.release()
         return rpc
 
+    def release_id(self, rpc: RPC) -> None:
+        """Close the id of an RPC that has its answer or needs none, once no attempt of it is in flight."""
+        if not rpc.done or rpc.attempt is not None:
+            return
+        effect = self.settings.classes[rpc.request.request_class].effect
+        may_have_run = rpc.first_run_at is not None
+        self.request_ids.release(rpc.id, may_have_run and effect is not Effect.IDEMPOTENT)
+
     def start_attempt(self, action: StartAttempt) -> None:
         """Start an attempt; it ends at the client's deadline at the latest."""
         rpc, now = self.rpcs.get(action.id), self.now()
--- /dev/null
+++ b/corkdeal/net/request_ids.py
@@ -0,0 +1,45 @@
+"""The ids that clients may not use: of open requests, and of those that may have run a short time ago.
+
+Each request carries a new id, also when a client tries again. An id that comes again would run a second time,
+also if its first client has left in the meantime.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+RETENTION_TIME = 10.0  # s for which the id of a request that may not run twice is kept after its end
+
+
+class RequestIds:
+    """Open ids, and those kept after their requests have ended; `now` returns the time in s."""
+
+    def __init__(self, now: Callable[[], float], max_kept: int) -> None:
+        """At most `max_kept` ids of ended requests are kept, the latest ones."""
+        self.now, self.max_kept = now, max_kept
+        self.open: set[int] = set()
+        self.kept_until: OrderedDict[int, float] = OrderedDict()  # the earliest first
+
+    def claim(self, request_id: int) -> bool:
+        """Open an id; return False if an open request has it, or one that may have run had it."""
+        self._forget_expired()
+        if request_id in self.open or request_id in self.kept_until:
+            return False
+        self.open.add(request_id)
+        return True
+
+    def release(self, request_id: int, may_not_run_again: bool = False) -> None:
+        """Close an id; it is kept for a while if its request ran, or may have run, and may not run again."""
+        if request_id not in self.open:
+            return
+        self.open.discard(request_id)
+        if may_not_run_again:
+            self.kept_until[request_id] = self.now() + RETENTION_TIME
+            if len(self.kept_until) > self.max_kept:
+                self.kept_until.popitem(last=False)
+
+    def _forget_expired(self) -> None:
+        now = self.now()
+        while self.kept_until and next(iter(self.kept_until.values())) <= now:
+            self.kept_until.popitem(last=False)
--- a/corkdeal/net/rpc.py
+++ b/corkdeal/net/rpc.py
@@ -8,6 +8,7 @@
 
 from ..decisions.events import Request
 from ..decisions.settings import Effect, Settings
+from .request_ids import RequestIds
 from .resp import ARRAY, BULK, Frame, MalformedError, split_fields
 
 CUSTOMER_LIMIT = 1 << 33
@@ -86,12 +87,11 @@
 class CommandParser:
     """Parses commands into RPCs, with the names of classes and plans from the settings."""
 
-    def __init__(self, settings: Settings) -> None:
-        self.settings = settings
+    def __init__(self, settings: Settings, ids: RequestIds) -> None:
+        self.settings, self.ids = settings, ids
         self.classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
         self.plans = {p.name.encode(): i for i, p in enumerate(settings.plans)}
         self.request_count = 0  # RPCs so far; each gets the next number as its request id
-        self.open_ids: set[int] = set()  # clients' ids of the unanswered RPCs
 
     def parse(self, frame: Frame, now: float, waited: float = 0.0) -> RPC:
         """Parse one complete API command; its timeout counts from the arrival of its last byte.
@@ -131,9 +131,8 @@
             and first_gateway < settings.gateway_count
         ):
             raise BadRequestError("parameters out of range")
-        if rid in self.open_ids:
-            raise BadRequestError("an open request has this id")
-        self.open_ids.add(rid)
+        if not self.ids.claim(rid):
+            raise BadRequestError("another request has this id")
         timeout_start = 2 if raw.startswith(b"d=") else raw.index(b",d=") + 3
         timeout_stop = raw.find(b",", timeout_start)
         deadline = now - waited + timeout_ms / 1000 - CLIENT_LATENCY
