Use no connection to a backend process that another one has replaced

Cause: idle connections were closed when a backend's address changed or it left the list, not when discovery told that its process had started anew; and a connection whose answer came after that was kept for further requests.

Change: the pool knows the start of each backend's process. A later one closes idle connections and ends attempts that are still connecting (backend_process_replaced); a connection that was opened to another process is closed after its answer.

--- a/corkdeal/net/backend_connection.py
+++ b/corkdeal/net/backend_connection.py
@@ -69,6 +69,7 @@
 
     def __init__(self, pool: BackendPool, backend: str, attempt: Attempt) -> None:
         self.pool, self.backend, self.parser = pool, backend, Parser()
+        self.process = pool.process(backend)  # that the endpoint list named when it was opened
         self.attempt: Attempt | None = attempt
         self.is_connected = self.ended = False
         self.response_stream: ResponseStream | None = None  # the large reply being received
@@ -311,6 +312,7 @@
         self.connect_timeout = min(settings.connect_timeout, CONNECT_TIMEOUT_SHARE * latency_objective)
         self.idle_limit = settings.idle_timeout * IDLE_TIMEOUT_SHARE
         self.addresses: dict[str, tuple[str, int]] = {}
+        self.started: dict[str, float] = {}  # s; when the process of each backend started, 0 for long ago
         self.idle: dict[str, list[BackendConnection]] = {}
         self.open: set[BackendConnection] = set()
         self.closing: set[BackendConnection] = set()  # closed by this side, descriptor not yet freed
@@ -374,8 +376,8 @@
         return bool(candidates)
 
     def keep(self, conn: BackendConnection) -> None:
-        """Keep a connection for reuse, unless its backend is no longer ready in the endpoint list."""
-        if conn.backend not in self.addresses:
+        """Keep a connection for reuse, unless its backend is not ready in the endpoint list, or replaced."""
+        if conn.backend not in self.addresses or conn.process != self.process(conn.backend):
             return conn.close()
         conn.idle_since = self.now()
         self.idle.setdefault(conn.backend, []).append(conn)
@@ -405,20 +407,30 @@
         for conn in list(self.idle.pop(backend, ())):
             conn.close()
 
-    def update_endpoint(self, backend: str, ready: bool, address: tuple[str, int]) -> None:
-        """Apply an endpoint-list update for one backend.
+    def update_endpoint(
+        self, backend: str, ready: bool, address: tuple[str, int], started: float = 0.0
+    ) -> None:
+        """Apply an endpoint-list update for one backend; `started` is when its process did, in s, if known.
 
         Attempts still connecting to a draining backend end, since they could be written after its grace.
+        Idle connections to another process than the one that is listed now are closed.
         """
         moved = self.addresses.pop(backend, address) != address
+        restarted = started > self.started.pop(backend, started)
         if ready:  # nothing is kept of removed backends: there are many over a long run
-            self.addresses[backend] = address
-        if not ready or moved:
+            self.addresses[backend], self.started[backend] = address, started
+        if restarted:
+            count("backend_process_replaced")
+        if not ready or moved or restarted:
             self.close_idle(backend)
             for conn in [c for c in self.open if c.backend == backend and not c.is_connected and c.attempt]:
                 count("backend_connection_drained_while_connecting")
                 self.abandon(conn.attempt, Status.CONNECT_FAILED)
 
+    def process(self, backend: str) -> tuple[tuple[str, int] | None, float]:
+        """Return what tells the listed process of a backend from others: its address, and when it started."""
+        return self.addresses.get(backend), self.started.get(backend, 0.0)
+
     def sweep(self) -> None:
         """Close idle connections before the backends do."""
         oldest = self.now() - self.idle_limit
--- a/corkdeal/net/endpoint_list.py
+++ b/corkdeal/net/endpoint_list.py
@@ -55,7 +55,10 @@
         self.queue_event(EndpointUpdate(kind, entries, result.revision))
         for entry in entries:
             self.pool.update_endpoint(
-                entry.backend, entry.state is EndpointState.READY, result.addresses[entry.backend]
+                entry.backend,
+                entry.state is EndpointState.READY,
+                result.addresses[entry.backend],
+                entry.started,
             )
         if kind is UpdateKind.COMPLETE:
             for backend in self.pool.addresses.keys() - result.addresses.keys():
@@ -68,7 +71,8 @@
             return
         entry = self.overrides.apply(self.listed[backend])
         self.queue_event(EndpointUpdate(UpdateKind.DELTA, (entry,), self.revision))
-        self.pool.update_endpoint(backend, entry.state is EndpointState.READY, self.addresses[backend])
+        is_ready = entry.state is EndpointState.READY
+        self.pool.update_endpoint(backend, is_ready, self.addresses[backend], entry.started)
         self.process_events()
 
     def is_known(self, backend: str) -> bool:
--- a/tests/faults/test_replaced_processes.py
+++ b/tests/faults/test_replaced_processes.py
@@ -51,6 +51,41 @@
     run(check())
 
 
+def test_a_connection_whose_answer_comes_after_the_replacement_is_not_used_further():
+    """The old process answers what it has, and would answer more."""
+
+    async def answer_late(backend, words, writer):
+        await asyncio.sleep(0.5)
+        await reply_small(backend, words, writer)
+
+    async def check():
+        async with Overload(96, answer_late) as world:
+            client = await world.client()
+            old = world.backends[0]
+            world.backends[:] = [old]
+            await world.discovery.publish()
+            await asyncio.sleep(0.1)
+            client.writer.write(b"".join(world.request(customer=9, timeout=3.0) for _ in range(4)))
+            await asyncio.sleep(0.2)
+            old.listener.close()
+            new = type(old)(old.model, old.draw_work, old.on_arrival)
+            new.reply, new.seen, new.up_since = reply_small, [], time.time()
+            await new.start(old.port)
+            world.backends[:] = [new]
+            await world.discovery.publish()
+            for _ in range(4):
+                assert (await client.answer()).startswith(b"$")
+            seen_before = len(old.seen)
+            for _ in range(20):
+                client.writer.write(world.request(customer=9, timeout=1.0))
+                await client.answer()
+                await asyncio.sleep(0.02)
+            assert new.seen
+            assert len(old.seen) == seen_before
+
+    run(check())
+
+
 def test_an_attempt_out_at_the_old_process_is_not_taken_for_one_at_the_new():
     """The old process ends with a request that may run once; the new one must not get it again."""
 
