Tell a backend the time that is left when the command is written, not when it was decided

Cause: the command was encoded when the attempt was decided on.

Change: it is encoded as it is written. A command that its backend reads slowly still tells the time at its first byte.

Measured: the new test fails on the parent (3000 told, 2800 left), passes now, for short and long commands.

--- a/corkdeal/net/backend_connection.py
+++ b/corkdeal/net/backend_connection.py
@@ -43,7 +43,7 @@
     backend: str
     sent_at: float
     deadline: float
-    parts: list[vectored_write.Part]
+    parts: list[vectored_write.Part]  # of a health check; those of an RPC are set as it is written
     conn: BackendConnection | None = None
     is_finished: bool = False
     # s from sending it to the first byte of a large reply, once that is streamed
@@ -100,6 +100,8 @@
         if now > attempt.write_by:
             return self.pool.abandon_unwritten(attempt)
         self.write_started_at = now
+        if attempt.rpc is not None:
+            attempt.parts = attempt.rpc.parts(attempt.deadline - now)
         if attempt.rpc is None or attempt.rpc.body is None:
             vectored_write.write(self.transport, attempt.parts)
             return
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -586,7 +586,7 @@
                 AttemptEnded(action.id, rpc.attempts, action.backend, Status.ABANDONED, 0.0, True)
             )
         until = min(rpc.deadline, now + action.timeout) if action.timeout > 0 else rpc.deadline
-        attempt = Attempt(rpc, rpc.attempts, action.backend, now, until, rpc.parts(until - now))
+        attempt = Attempt(rpc, rpc.attempts, action.backend, now, until, [])
         attempt.decided_at, attempt.write_by = now, self.deduplication_end(rpc)
         self.attempts_in_flight[action.id, attempt.number] = rpc.attempt = attempt
         rpc.attempts += 1
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -732,3 +732,16 @@
         assert not crowded.paused
         crowded.dataReceived(PING)
     assert crowded.paused
+
+
+# The time was taken when the attempt was decided on, however long its connection took to come up.
+@pytest.mark.parametrize("is_long", [False, True])
+def test_the_time_told_to_a_backend_is_what_is_left_when_its_connection_comes_up(is_long):
+    harness = GatewayWithClient()
+    params = b"c=look,t=large,d=3000,units=1,spread=1,first=0"
+    command = encode_command(b"API.READ", b"%016x" % 7, b"%016x" % 1, params)
+    harness.client_connection.dataReceived(write(1) if is_long else command)
+    harness.reactor.advance(0.2)
+    _, wire = harness.establish()
+    told = int(re.search(rb",d=([0-9]+)", bytes(wire.taken)).group(1))
+    assert 2700 < told <= 2800
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -409,7 +409,7 @@
     def test_nothing_is_kept_of_backends_that_left(self):
         pool, attempt = self.connecting_attempt()  # backends are replaced again and again in a long run
         connection, _ = self.establish()
-        attempt.rpc = rpc = types.SimpleNamespace(body=None)
+        attempt.rpc = rpc = types.SimpleNamespace(body=None, parts=lambda timeout: [b"x"])
         pool.on_finish = lambda attempt, reply: self.assertIs(attempt.rpc, rpc)
         pool.update_endpoint("a", False, ("127.0.0.1", 1))
         connection.dataReceived(b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
@@ -550,7 +550,7 @@
         ):
             with self.subTest(data):
                 pool, attempt = self.connecting_attempt()
-                attempt.rpc = types.SimpleNamespace(body=None)
+                attempt.rpc = types.SimpleNamespace(body=None, parts=lambda timeout: [b"x"])
                 connection, _ = self.establish()
                 connection.dataReceived(data)
                 self.assertEqual(self.ended, [] if wait else [Status.RESET])
@@ -560,7 +560,7 @@
     def test_an_answer_that_comes_in_pieces_is_waited_for_but_not_for_ever(self):
         for pieces, status in ((3, Status.OK), (9, Status.RESET)):
             _, attempt = self.connecting_attempt()
-            attempt.rpc = types.SimpleNamespace(body=None)
+            attempt.rpc = types.SimpleNamespace(body=None, parts=lambda timeout: [b"x"])
             connection, _ = self.establish()
             value = b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (pieces, b"v" * pieces)
             for piece in [value[:8], *(value[8 + i : 9 + i] for i in range(pieces - 1))]:
