Fail a request that may have run and waits for a retry when its client or the process ends

Cause: a request without an attempt in flight was rejected, whatever came before.

Change: only one that never ran, or whose class may simply be repeated.

--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -307,12 +307,23 @@
         rpc.has_client_left = True
         self.handle_event(ClientDisconnected(rpc.request.id))
         if rpc.attempt is None:
-            self.reject(Reject(rpc.request.id, 0.0))
+            self.end_between_attempts(rpc)
         else:
             self.pool.abandon(
                 rpc.attempt, Status.CANCELLED if rpc.attempt.is_fully_written else Status.ABANDONED
             )
 
+    def end_between_attempts(self, rpc: RPC) -> None:
+        """Reject an RPC that has no attempt in flight, or fail it if a repeat of it could run twice."""
+        if rpc.first_run_at is None or self.effect_of(rpc) is Effect.IDEMPOTENT:
+            self.reject(Reject(rpc.request.id, 0.0))
+        else:
+            self.fail(Fail(rpc.request.id))
+
+    def effect_of(self, rpc: RPC) -> Effect:
+        """Return what a repeat of a request may do, by its class."""
+        return self.settings.classes[rpc.request.request_class].effect
+
     def schedule_sweep(self) -> None:
         """Schedule the next sweep."""
         self.reactor.callLater(SWEEP_INTERVAL, self.sweep, self.now() + SWEEP_INTERVAL)
@@ -568,9 +579,8 @@
         """Close the id of an RPC that has its answer or needs none, once no attempt of it is in flight."""
         if not rpc.done or rpc.attempt is not None:
             return
-        effect = self.settings.classes[rpc.request.request_class].effect
         may_have_run = rpc.first_run_at is not None
-        self.request_ids.release(rpc.id, may_have_run and effect is not Effect.IDEMPOTENT)
+        self.request_ids.release(rpc.id, may_have_run and self.effect_of(rpc) is not Effect.IDEMPOTENT)
 
     def start_attempt(self, action: StartAttempt) -> None:
         """Start an attempt; it ends at the client's deadline at the latest."""
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -745,3 +745,16 @@
     _, wire = harness.establish()
     told = int(re.search(rb",d=([0-9]+)", bytes(wire.taken)).group(1))
     assert 2700 < told <= 2800
+
+
+# It was rejected, by which its client may send it again.
+def test_a_request_that_may_have_run_and_waits_for_a_retry_fails_when_the_process_ends():
+    harness = GatewayWithClient()
+    harness.client_connection.dataReceived(write(1)[:-2] + b"\r\n")
+    conn, _ = harness.establish()
+    harness.gateway.handle_event(EndpointUpdate(UpdateKind.COMPLETE, ()))  # none is left for a retry
+    conn.connectionLost()
+    assert harness.outcomes() == [Status.RESET]
+    if harness.gateway.rpcs:
+        harness.gateway.shutdown.answer_open_rpcs()
+    assert bytes(harness.client.taken) == b"-ERR failed\r\n"
