Log the pressure on the memory budget, and give it as metrics

What was missing: the log of a process that was killed for its memory has nothing about memory, nor what held it.

Change: the event memory (pressure, held, limit, waiting and collected answers, bodies, names) at each change of pressure, at most once a second; app_memory_held and app_memory_budget at the operations address.

--- a/corkdeal/logs/events.py
+++ b/corkdeal/logs/events.py
@@ -42,6 +42,11 @@
     ),
     "attempt_ended": (DEBUG, "an attempt ended: id (the client's), attempt, server, status, after (s)"),
     "request_answered": (DEBUG, "a request got its final answer: id, attempts, line (the answer's first)"),
+    "memory": (
+        INFO,
+        "the pressure on the memory budget changed: pressure, before, held, limit, answers (waiting), "
+        "collected (long answers), bodies (incomplete), names (accounts and ids); bytes but for bodies",
+    ),
     "decisions_failed": (ERROR, "the decisions raised, the RPCs of these events fail: events, trace"),
     "action_failed": (ERROR, "an action of the decisions could not be carried out: action, trace"),
     "decisions_message": (INFO, "a log line of the decisions: text"),
--- a/corkdeal/net/budget.py
+++ b/corkdeal/net/budget.py
@@ -16,6 +16,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections import deque
 from typing import Protocol
 
@@ -54,6 +55,15 @@
     return int(budget_for(limit) * ID_FRACTION / ID_MEMORY)
 
 
+class Pressure(enum.StrEnum):
+    """How much of the budget is used; the values are field values of the log."""
+
+    NONE = "none"
+    CROWDED = "crowded"
+    FULL = "full"
+    EXHAUSTED = "exhausted"
+
+
 class Holder(Protocol):
     """Something that holds a part of the budget."""
 
@@ -99,6 +109,15 @@
         """Whether the total has reached the limit."""
         return self.total >= self.limit
 
+    @property
+    def pressure(self) -> Pressure:
+        """The step that the total has reached."""
+        if self.is_exhausted:
+            return Pressure.EXHAUSTED
+        if self.is_full:
+            return Pressure.FULL
+        return Pressure.CROWDED if self.is_crowded else Pressure.NONE
+
     def may_keep_answer(self, size: int) -> bool:
         """Return whether an answer of that size may wait for its turn or for its client."""
         return self.waiting_answers + size <= self.max_waiting_answers and self.total + size <= self.limit
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -62,6 +62,7 @@
 from .invariants import count, holds
 from .loop_lateness import LoopLateness
 from .manual_overrides import ManualOverrides
+from .memory_log import MemoryLog
 from .operators import Operators
 from .parsing_queue import ParsingQueue
 from .peering import Peering
@@ -108,6 +109,7 @@
         self.parsing_queue = ParsingQueue(reactor, self.now)
         self.budget = Budget(budget_for(config.memory))
         self.name_memory = NameMemory()
+        self.memory_log = MemoryLog(self.budget, self.now, lambda: self.name_memory.held_bytes)
         self.descriptors = Descriptors(config.sockets, self.client_connections, self.now)
         self.pool = BackendPool(
             reactor,
@@ -336,6 +338,7 @@
         self.pool.sweep()
         self.descriptors.sweep()
         self.update_name_memory()
+        self.memory_log.update()
 
     def log_counters(self) -> None:
         """Log the counters and the rejections by cause, if they changed."""
--- a/corkdeal/net/operators.py
+++ b/corkdeal/net/operators.py
@@ -50,6 +50,8 @@
             "reconfig_ok": self.counters["reconfig_ok"],
             "reconfig_failed": self.counters["reconfig_failed"],
             "loop_late_ms": round(1000 * self.gateway.lateness.max_lateness),
+            "memory_held": self.gateway.budget.total,
+            "memory_budget": self.gateway.budget.limit,
         }
 
     def enter_standby(self) -> bool:
