Run no id at both processes of an upgrade

Change: while both run, each appends the ids that it opens to a file in the folder that they share, and reads the other's before it opens one whose request may not simply be repeated. The predecessor tells the ids it has open, or keeps, before it hands over, the successor serves after that. Of two that open an id at the same time at least one sees the other.

--- a/corkdeal/net/rpc.py
+++ b/corkdeal/net/rpc.py
@@ -131,7 +131,7 @@
             and first_gateway < settings.gateway_count
         ):
             raise BadRequestError("parameters out of range")
-        if not self.ids.claim(rid):
+        if not self.ids.claim(rid, effect is Effect.IDEMPOTENT):
             raise BadRequestError("another request has this id")
         timeout_start = 2 if raw.startswith(b"d=") else raw.index(b",d=") + 3
         timeout_stop = raw.find(b",", timeout_start)
--- a/corkdeal/net/upgrade.py
+++ b/corkdeal/net/upgrade.py
@@ -22,6 +22,9 @@
 from ..persistence.restore import RestoredState
 from ..persistence.store import gateway_folder
 from .invariants import count, counts
+from .request_ids import RETENTION_TIME
+from .shared_ids import SharedIds
+from .shutdown import KILL_DELAY, MAX_CLASS_DEADLINE
 
 FOLDER_NAME = "corkdeal-lives"  # in the folder for temporary files
 POLL_INTERVAL = 0.02  # seconds between checks for the predecessor's first snapshot
@@ -38,7 +41,8 @@
         self.gateway = gateway
         self.decisions = gateway.decisions
         folder = os.path.join(tempfile.gettempdir(), FOLDER_NAME)
-        self.files = HandoverFiles(gateway_folder(folder, gateway.config.name))
+        self.folder = gateway_folder(folder, gateway.config.name)
+        self.files = HandoverFiles(self.folder)
         self.predecessor: int | None = None  # incarnation that still has a fraction of the quota
         self.partial_state: PartialState | None = None  # what the predecessor handed over first
         self.predecessor_fraction = 0.0  # fraction of the quota that the predecessor kept
@@ -88,6 +92,8 @@
 
     def _apply_partial_state(self, snapshot: Snapshot) -> None:
         """Restore the decisions from the first snapshot, with the quota fraction handed over."""
+        if self.predecessor is not None:
+            self._share_ids(self.predecessor)
         total_fraction = snapshot.head.fleet.quota_fraction
         self.predecessor_fraction = total_fraction * (1 - SUCCESSOR_FRACTION)
         self.partial_state = PartialState(self._restored_state(snapshot), SUCCESSOR_FRACTION)
@@ -144,6 +150,14 @@
         )
         self.predecessor = None
         self.gateway.listen_for_peers()
+        # Until then the predecessor may still serve, and its last requests may have run a short time ago.
+        wait = MAX_CLASS_DEADLINE + KILL_DELAY + RETENTION_TIME
+        self.reactor.callLater(wait, self._end_sharing, self.gateway.request_ids.shared)
+
+    def _end_sharing(self, shared: SharedIds | None) -> None:
+        """End the exchange of ids with a process that has ended, unless another one has begun."""
+        if shared is not None and self.gateway.request_ids.shared is shared:
+            self.gateway.request_ids.end_sharing()
 
     def _read(self, predecessor: int, part: HandoverPart) -> Snapshot | None:
         """Return a snapshot for this process, or None; one that can't be read is counted and logged."""
@@ -185,6 +199,7 @@
             logs.event("handover_taken_back", life=self.files.incarnation, after=self.successor)
             quota_handover.add_fraction(self.decisions, self.gateway.now(), self.successor_fraction)
             self.successor = None
+            self.reactor.callLater(RETENTION_TIME, self._end_sharing, self.gateway.request_ids.shared)
         if self.successor is None:
             successor = self.files.successor()
             if successor is not None and self.gateway.has_started:
@@ -211,6 +226,7 @@
 
     def _hand_over_partial_state(self, successor: int) -> None:
         """Hand over a quota fraction and all records to a process that has started."""
+        self._share_ids(successor)  # first: the successor serves once it has the snapshot
         if not self._write(successor, HandoverPart.PARTIAL):
             return
         self.successor = successor
@@ -223,6 +239,15 @@
             part=round(self.successor_fraction, 3),
         )
 
+    def _share_ids(self, other: int) -> None:
+        """Exchange the ids of requests with the other process, so that none runs at both."""
+        try:
+            shared = SharedIds(self.folder, self.files.incarnation, other)
+            self.gateway.request_ids.share(shared)
+        except OSError as error:
+            count("shared_ids_failed")
+            logs.event("handover_not_written", what="ids", after=other, error=truncated_text(error))
+
     def hand_over_remainder(self) -> None:
         """Hand over the remainder to a successor that has its fraction; no new clients connect any more."""
         if self.successor is None or self.is_finished or not self.files.is_running(self.successor):
--- a/corkdeal/persistence/handover_files.py
+++ b/corkdeal/persistence/handover_files.py
@@ -3,6 +3,7 @@
     0000000000000007.life          locked by incarnation 7 while it runs; no number is used twice
     0000000000000006-7.first       handed over by incarnation 6 to incarnation 7 when 7 started
     0000000000000006-7.rest        handed over by incarnation 6 to incarnation 7 when 6 ended
+    0000000000000006-7.ids         ids of requests that 6 opens while 7 runs, see `net/shared_ids.py`
 
 An incarnation's file gets its name only after it is locked, so an unlocked one has ended for good. Earlier
 versions create the file under its name and lock it in a second step; the modification time tells them apart.
@@ -30,7 +31,7 @@
 from .files import CLOSED, StateFolder
 
 match_incarnation_name = re.compile(r"([0-9]{16})\.life").fullmatch
-match_snapshot_name = re.compile(r"([0-9]{16})-([0-9]{1,16})\.(?:first|rest|tmp)").fullmatch
+match_snapshot_name = re.compile(r"([0-9]{16})-([0-9]{1,16})\.(?:first|rest|ids|tmp)").fullmatch
 
 
 # Modification time, seconds since the epoch, of a file that was locked before it got its name.
--- a/tests/persistence/test_upgrade.py
+++ b/tests/persistence/test_upgrade.py
@@ -9,6 +9,7 @@
 
 from corkdeal import logs
 from corkdeal.decisions.gateway import Gateway
+from corkdeal.net.request_ids import RequestIds
 from corkdeal.net.upgrade import CHECK_INTERVAL, POLL_INTERVAL, POLL_TIMEOUT, UpgradeHandover
 from corkdeal.persistence.quota_handover import SUCCESSOR_FRACTION
 
@@ -31,6 +32,7 @@
             now=lambda: 5000.0 + clock.seconds(),
             config=SimpleNamespace(name="n0"),
             has_started=False,
+            request_ids=RequestIds(clock.seconds, 10),
             listen_for_peers=lambda: calls.append("listen_for_peers"),
             stop_peering=lambda: calls.append("stop_peering"),
         )
