--- a/corkdeal/net/answer_reservations.py
+++ b/corkdeal/net/answer_reservations.py
@@ -84,6 +84,11 @@
         self._end_wait(answer)
         self.set_held(answer, 0)
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether an answer waits for room."""
+        return bool(self.waiting_next or self.waiting_ahead)
+
     def wake(self) -> None:
         """Have waiting answers try again, in their order, until one has to wait longer."""
         if self.is_waking:
--- a/corkdeal/net/budget.py
+++ b/corkdeal/net/budget.py
@@ -145,6 +145,8 @@
         was_full, added = self.is_full, size - holder.held_bytes
         self.total += added
         holder.held_bytes = size
+        if not (was_full or self.waiting or self.answers.has_waiting or self.total > self.high_mark):
+            return  # nobody is to wait, or to be resumed
         if self.is_full and not was_full:
             for body in list(self.incomplete_bodies):
                 self.make_wait(body)
--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -166,7 +166,8 @@
             self.drop_body()
             self.terminating = True
         self.flush()
-        self.update_reading()
+        if self.has_unparsed_input or self.paused:
+            self.update_reading()
 
     def handle_commands(self, slice_time: float) -> None:
         """Handle the commands that were read, until the time is over or replies have to be taken first."""
@@ -361,7 +362,8 @@
             rpc.reply = reply
             self.memory.add_answer(rpc, size)
             self.flush()
-            self.memory.update()  # it may have to wait for the end of parsing
+            if self.is_parsing:  # the flush has to wait for the end of that
+                self.memory.update()
 
     def may_keep_answer(self, rpc: RPC, size: int) -> bool:
         """Return whether an answer may be kept until its turn comes and its client takes it.
