Count the time for which a request lay unread behind others on its connection

Cause, by reading and a unit test: a connection that is paused, for a long answer or until its client has taken what was written, is not read; a request that comes meanwhile counted from the read, so it was told, and given, too much time.

Change: for 0.25 s after a pause the age of the newest bytes, which the kernel tells, counts as waited; with it a long command's timeout. A request whose time is over is rejected.

--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -28,7 +28,13 @@
 from .response_stream import ResponseStream
 from .rpc import READ, RPC, WRITE, BadRequestError
 from .stalled_readers import CLIENT_STALL_TIMEOUT
-from .tcp_state import PeerState, peer_state, seconds_since_fin, unacknowledged_bytes
+from .tcp_state import (
+    PeerState,
+    peer_state,
+    seconds_since_fin,
+    seconds_since_last_data,
+    unacknowledged_bytes,
+)
 
 MAX_PENDING_REPLIES = 256  # unanswered commands at which the gateway stops reading from a client connection
 MAX_PENDING_WHEN_CROWDED = 8  # the same, while the memory budget is crowded
@@ -44,6 +50,7 @@
 # tick in which a FIN is timestamped (at most 10 ms), the network delay to the backend, and preemption of this
 # process between the check and the write.
 HALF_CLOSE_GRACE = 0.05  # s
+UNREAD_WINDOW = 0.25  # s after a pause in which bytes may still be read that arrived during it
 KERNEL_TICK = 0.01  # s; the longest tick of any kernel configuration
 LINGER = 0.5  # s between checks whether the client has taken all, so that the connection can be closed
 OK = b"+OK\r\n"
@@ -75,6 +82,7 @@
         self.gateway, self.parser = gateway, Parser(MAX_SHORT_VALUE, MAX_COMMAND_SIZE)
         self.memory = ConnectionMemory(gateway.budget, self.buffered_bytes)
         self.parsing_queue = gateway.parsing_queue
+        self.resumed_at = -math.inf  # when reading was resumed last
         self.read_at = 0.0  # when the input that is being parsed was read
         self.is_shed = False  # whether it was accepted on overload
         self.ends_after_input = False  # whether it ends once all that was read is answered
@@ -89,7 +97,7 @@
         # whether the client has sent a complete command, and the number of its RPCs
         self.has_sent_command, self.request_count = False, 0
         self.bad_request_count = 0
-        self.unread_time = 0.0  # s that the bytes being read lay in the socket while the process was stalled
+        self.unread_time = 0.0  # s that the bytes being read lay in the socket before
         self.half_closed = self.closing = self.terminating = False
         self.at_reply_limit = self.is_parsing = self.is_shut_down = False
         self.half_closed_at: float | None = None  # earliest time at which the client may have sent its FIN
@@ -132,8 +140,7 @@
         if self.terminating:
             return
         now = self.read_at = self.seen_open_at = self.gateway.now()
-        if self.gateway.recovery is not None:
-            self.unread_time = self.gateway.recovery.unread_time(self.transport.getHandle(), now)
+        self.unread_time = self.measure_unread_time(now)
         if not self.parser.has_partial_frame:
             self.command_started_at = now
         self.parser.feed(data)
@@ -144,6 +151,21 @@
             self.has_unparsed_input = True
             self.update_reading()
 
+    def measure_unread_time(self, now: float) -> float:
+        """Return for how many seconds the bytes being read lay in the socket, as far as is known.
+
+        That is while the process was stalled, or this connection was paused. The kernel tells it of the
+        newest bytes; earlier ones have waited longer.
+        """
+        handle, unread_time = self.transport.getHandle(), 0.0
+        if self.gateway.recovery is not None:
+            unread_time = self.gateway.recovery.unread_time(handle, now)
+        if self.resumed_at <= now < self.resumed_at + UNREAD_WINDOW:
+            age = seconds_since_last_data(handle) or 0.0
+            if age > KERNEL_TICK:
+                unread_time = max(unread_time, age)
+        return unread_time
+
     def parse_commands(self, slice_time: float = SLICE_TIME) -> None:
         """Handle the commands that were read, and write all immediate replies together.
 
@@ -301,7 +323,7 @@
             body.finish()
             self.update_reading()  # it may have been paused at its last piece
             if body.rpc is not None:
-                body.rpc.deadline = now + body.rpc.request.timeout
+                body.rpc.restart_timeout(now, self.waited_time(now))
                 self.submit(body.rpc)
             return True
         return self.receive_body()
@@ -547,6 +569,7 @@
             super().pauseProducing()
             self.gateway.descriptors.paused.add(self)
         else:
+            self.resumed_at = self.gateway.now()
             super().resumeProducing()
             self.gateway.descriptors.paused.discard(self)
 
--- a/corkdeal/net/rpc.py
+++ b/corkdeal/net/rpc.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import re
 from dataclasses import dataclass
 from typing import Any
@@ -75,6 +76,13 @@
             return [*head, buf[params.stop : last.start], *self.body.buffer.pieces]
         return [*head, buf[params.stop : last.end]]
 
+    def restart_timeout(self, now: float, waited: float) -> None:
+        """Count the timeout from the last byte of a long value, which arrived `waited` s before `now`."""
+        self.deadline = now - waited + self.request.timeout
+        if waited:
+            left = max(0.0, self.request.timeout - waited)
+            self.request = dataclasses.replace(self.request, timeout=left, unread_time=waited)
+
     def release(self) -> None:
         """Free the command once no attempt can need it any more."""
         if not self.done or self.attempt is not None:
--- a/tests/faults/world.py
+++ b/tests/faults/world.py
@@ -216,10 +216,7 @@
 
     def memory(self):
         """The memory of the process now, in bytes; 0 after its end."""
-        with contextlib.suppress(OSError):
-            pages = int(pathlib.Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
-            return pages * os.sysconf("SC_PAGE_SIZE")
-        return 0
+        return memory_of(self.process.pid)
 
     async def watch_memory(self):
         while True:
@@ -287,6 +284,14 @@
         return encode_command(*self.words(name=b"solve-record", **more), body)
 
 
+def memory_of(pid):
+    """The resident memory of a process in bytes; 0 after its end."""
+    with contextlib.suppress(OSError):
+        pages = int(pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE")
+    return 0
+
+
 class Client:
     """One client connection."""
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -37,6 +37,7 @@
 )
 from corkdeal.net.budget import CONNECTION_MEMORY, REQUEST_MEMORY, Budget
 from corkdeal.net.resp import MAX_INLINE_VALUE, encode_command
+from corkdeal.net.tcp_state import ARRIVAL_AGES, ARRIVAL_AGES_OFFSET
 
 from .net_world import SETTINGS, Program, served
 
@@ -122,6 +123,9 @@
     def fileno(self):
         return -1
 
+    def getsockopt(self, *args):
+        raise OSError("not available")
+
     def sendmsg(self, parts):
         data = b"".join(parts)[: self.free_space]
         if not data:
@@ -758,3 +762,26 @@
     if harness.gateway.rpcs:
         harness.gateway.shutdown.answer_open_rpcs()
     assert bytes(harness.client.taken) == b"-ERR failed\r\n"
+
+
+# It was told all of its time, and begun after its client's time was over: found by the soak, seed 826.
+@pytest.mark.parametrize("is_over", [False, True])
+def test_the_time_for_which_a_request_lay_unread_behind_others_counts(is_over):
+    harness = GatewayWithClient()
+    conn, _ = harness.ask(1)
+    harness.client.free_space = 10
+    conn.dataReceived(served(b"v" * 100))
+    assert harness.client_connection.paused
+    harness.client.take()
+    info = bytearray(64)
+    ARRIVAL_AGES.pack_into(info, ARRIVAL_AGES_OFFSET, 3500 if is_over else 500, 0)
+    harness.client.getsockopt = lambda *args: bytes(info)
+    harness.client_connection.dataReceived(
+        encode_command(b"API.READ", b"%016x" % 7, b"%016x" % 2, b"c=look,t=large,d=3000")
+    )
+    if is_over:
+        assert bytes(harness.client.taken).endswith(b"-BUSY\r\n") and not harness.gateway.rpcs
+    else:
+        _, wire = harness.establish()
+        told = int(re.findall(rb",d=([0-9]+)", bytes(wire.taken))[-1])
+        assert 2400 < told <= 2500
