End a connection that is closing and has unread bytes before the process is killed

Its transport waits for room in a socket that its client does not empty; the last call left it open, as it does where requests may be unread, but a connection that is closing reads nothing any more.

Change: the last call ends it (client_connection_not_closed_in_time).

--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -671,6 +671,9 @@
             count("answer_not_taken")
         elif self.is_streaming:
             count("answer_cut_off")
+        elif self.transport.disconnecting:
+            # What came since is not read any more. The transport waits for room in a full socket.
+            count("client_connection_not_closed_in_time")
         elif self.parser.has_partial_frame:
             count("client_connection_without_command")
         elif not self.terminating and (self.pending_replies or self.has_unread_bytes()):
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -100,6 +100,7 @@
     """A fake transport whose peer accepts only a limited number of bytes."""
 
     offset, _tempDataBuffer, _tempDataLen, connected = 0, (), 0, True
+    disconnecting = False
 
     def __init__(self):
         self.taken, self.free_space, self.dataBuffer = bytearray(), 1 << 40, b""
--- a/tests/test_closing_before_kill.py
+++ b/tests/test_closing_before_kill.py
@@ -82,3 +82,15 @@
     connection.transport.recv.side_effect = lambda *_: b"x"  # a request waits in the socket
     advance(reactor, TIME_TO_KILL)
     assert connection in gateway.client_connections
+
+
+# Found by the soak (seed 907): the transport of a client that reads nothing waits for room in the socket
+# before it closes, and what the client has sent since is never read.
+def test_a_connection_that_is_closing_and_has_unread_bytes_does_not_outlast_the_process():
+    gateway, _ = make_gateway()
+    connection = connect(gateway)
+    connection.dataReceived(PING)
+    connection.transport.disconnecting = True
+    connection.transport.recv = lambda size, flags: b"x"
+    connection.close_before_kill()
+    assert not gateway.client_connections
