--- a/corkdeal/decisions/admission.py
+++ b/corkdeal/decisions/admission.py
@@ -1,5 +1,8 @@
 """Admission control: whether a request is within its customer's quota, and the reason if it is rejected.
 
+A request beyond the quota is rejected at once, whatever backends could serve: a quota is what a customer is
+promised and what its plan allows it.
+
 For an account shared in a ring, a gateway admits requests against its own bucket and, as credit, against the
 levels that its neighbours reported recently. The credit bridges the time until the exchange has moved the
 share. The overrun is bounded, since at most two gateways spend the same level.
@@ -28,7 +31,7 @@
 class RejectionReason(enum.StrEnum):
     """Why a request was not served; the values are parts of metric names."""
 
-    QUOTA = "quota"  # beyond the quota, where its value is less than its cost
+    QUOTA = "quota"  # beyond the quota
     NO_CAPACITY = "opening"  # beyond the plan's hard limit or the admission ramp after a start
     NO_BACKEND = "no_server"  # no usable backend
     LATE = "late"  # expected to miss its latency objective, so rejected early
@@ -83,7 +86,7 @@
         self, account: Account, units: float, is_inside_quota: bool
     ) -> RejectionReason | None:
         """Return why the account's plan excludes a request, or None if it does not."""
-        if not is_inside_quota and not may_exceed_quota(account):
+        if not is_inside_quota:
             return RejectionReason.QUOTA
         if account.plan.hard_limit_rate and account.hard_limit_level < units:
             return RejectionReason.NO_CAPACITY
@@ -113,8 +116,3 @@
         return free >= 0 and sampled_demand < self.rate(account) * min(
             MAX_RATE_FACTOR, fill / FULL_RATE_LEVEL
         )
-
-
-def may_exceed_quota(account: Account) -> bool:
-    """Return whether the value of requests beyond the quota exceeds their cost."""
-    return account.plan.over_quota_weight > account.plan.over_quota_cost
--- a/corkdeal/decisions/request_lifecycle.py
+++ b/corkdeal/decisions/request_lifecycle.py
@@ -12,7 +12,7 @@
 
 from .accounts import Account, AccountTable
 from .actions import Action, CancelAttempt, Fail, Reject, StartAttempt
-from .admission import Admission, RejectionReason, may_exceed_quota
+from .admission import Admission, RejectionReason
 from .backend_selection import BackendSelection
 from .backends import BackendRecord, Backends
 from .deadline_timers import DeadlineTimers
@@ -25,7 +25,6 @@
 from .slow_start import SlowStartBudget
 
 LATE_FRACTION = 0.45  # of the time left; a request expected to take longer is rejected early
-LATE_FRACTION_BEYOND_QUOTA = 0.25  # the same, for requests beyond the quota
 STALE_RECORD_AGE = 1.0  # s without an attempt after which the record of a backend is not relied on
 
 
@@ -97,7 +96,7 @@
         share = self.host.refill(account)
         if self._is_inside_quota(account, request.units, share):
             return None
-        if not account.plan.rate or may_exceed_quota(account):
+        if not account.plan.rate:
             return None
         account.last_request_at = self.host.now
         self.admission.record_demand(request.customer, account, request.units, request.is_retry)
@@ -212,10 +211,9 @@
         is_idle = not backend.in_flight and self.host.now - backend.last_attempt_at > STALE_RECORD_AGE
         if is_idle:  # its record may be outdated
             return False
-        fraction = LATE_FRACTION if request.is_inside_quota else LATE_FRACTION_BEYOND_QUOTA
         capacity_fraction = self.slow_start.capacity_fraction(backend, self.host.now)
         latency = self.backend_selection.expected_latency(backend, request, self.host.now) * capacity_fraction
-        return latency > fraction * self._time_left(request)
+        return latency > LATE_FRACTION * self._time_left(request)
 
     def _start_attempt(self, request: PendingRequest, backend: BackendRecord) -> None:
         """Start an attempt; the first one takes the units from the bucket and the hard limit."""
--- a/corkdeal/decisions/settings.py
+++ b/corkdeal/decisions/settings.py
@@ -59,9 +59,9 @@
         rate: quota, units/s.
         burst: size of the token bucket, units.
         max_in_flight: maximum number of requests in flight.
-        price: value of a unit inside the quota, relative to other plans.
-        over_quota_weight: value of a unit beyond the quota, relative to one inside.
-        over_quota_cost: cost of a unit beyond the quota, relative to the value of one inside.
+        price: as configured; unused by the decisions.
+        over_quota_weight: as configured; unused by the decisions.
+        over_quota_cost: as configured; unused by the decisions.
         hard_limit_rate: rate that is never exceeded, units/s.
         hard_limit_burst: size of the hard limit's token bucket, units.
         hard_limit_slack: as configured; unused by the decisions.
--- a/tests/decisions/test_admission.py
+++ b/tests/decisions/test_admission.py
@@ -12,7 +12,6 @@
     PEER_STATE_LIFETIME,
     Admission,
     RejectionReason,
-    may_exceed_quota,
 )
 from corkdeal.decisions.aggregation_tree import AggregationScheduler
 from corkdeal.decisions.settings import Plan
@@ -86,18 +85,22 @@
 
 def test_rejection_reasons():
     admission = make_admission()
-    over_quota_account = account_of(Plan(rate=2.0, burst=12.0, over_quota_weight=1.0, over_quota_cost=0.5))
     hard_limited_account = account_of(Plan(rate=2.0, burst=12.0, hard_limit_rate=1.0, hard_limit_burst=3.0))
     assert admission.rejection_reason(account_of(), 1.0, is_inside_quota=True) is None
     assert admission.rejection_reason(account_of(), 1.0, is_inside_quota=False) is RejectionReason.QUOTA
-    assert admission.rejection_reason(over_quota_account, 1.0, is_inside_quota=False) is None
-    assert may_exceed_quota(over_quota_account) and not may_exceed_quota(account_of())
     assert (
         admission.rejection_reason(hard_limited_account, 1.0, is_inside_quota=True)
         is RejectionReason.NO_CAPACITY
     )
 
 
+@pytest.mark.parametrize(("weight", "cost"), [(0.0, 0.0), (1.0, 0.5), (0.5, 1.0)])
+def test_a_request_beyond_the_quota_is_rejected_whatever_the_score_gives_for_it(weight, cost):
+    plan = Plan(rate=2.0, burst=12.0, over_quota_weight=weight, over_quota_cost=cost)
+    reason = make_admission().rejection_reason(account_of(plan), 1.0, is_inside_quota=False)
+    assert reason is RejectionReason.QUOTA
+
+
 def test_retry_after_is_the_time_until_the_bucket_holds_the_units():
     account = account_of()
     account.level = 1.0
--- a/tests/decisions/test_degradation.py
+++ b/tests/decisions/test_degradation.py
@@ -238,22 +238,23 @@
     assert gateway.rate(account) == pytest.approx(0.3 * 4 / (0.15 * 0.8))
 
 
-def test_loaded_backends_serve_requests_within_quota_first():
-    """At medium load, requests beyond the quota are rejected although they have some value."""
-    plan = Plan(rate=100.0, burst=100.0, over_quota_weight=0.3)
-    sent = {}
-    for elapsed in (0.1, 0.3, 0.6):
-        gateway = gateway_with("a", "b", plans=(plan,))
-        for i in range(300):
-            gateway.handle(101.0 + i / 10, [request(i, customer=i)])
-            for (request_id, attempt), (backend, _) in list(gateway.requests.attempts_in_flight.items()):
-                gateway.handle(
-                    101.0 + i / 10, [outcome(request_id, attempt, backend.endpoint.backend, elapsed=elapsed)]
-                )
-        for beyond in (False, True):
-            gateway.handle(131.0, [outcome(1, 0, "a")])
-            account = gateway.account(7, 0, 0, 3)
-            account.level = account.demand = 0.0 if beyond else 30.0
-            account.refilled_at = 131.0
-            sent[elapsed, beyond] = len(pick(gateway.handle(131.0, [request(900 + beyond)]), StartAttempt))
-    assert [sent[key] for key in sorted(sent)] == [1, 1, 1, 0, 0, 0]
+@pytest.mark.parametrize("elapsed", [0.1, 0.3])
+@pytest.mark.parametrize(("weight", "cost"), [(0.0, 0.0), (0.3, 0.0), (1.0, 0.5)])
+def test_only_requests_within_the_quota_are_served_whatever_the_load(elapsed, weight, cost):
+    """A quota holds for idle backends too, and whatever the score gives for a request beyond it."""
+    plan = Plan(rate=100.0, burst=100.0, over_quota_weight=weight, over_quota_cost=cost)
+    gateway = gateway_with("a", "b", plans=(plan,))
+    for i in range(300):
+        gateway.handle(101.0 + i / 10, [request(i, customer=i)])
+        for (request_id, attempt), (backend, _) in list(gateway.requests.attempts_in_flight.items()):
+            gateway.handle(
+                101.0 + i / 10, [outcome(request_id, attempt, backend.endpoint.backend, elapsed=elapsed)]
+            )
+    sent = []
+    for level in (30.0, 0.0):
+        account = gateway.account(7, 0, 0, 3)
+        account.level = account.demand = level
+        account.refilled_at = 131.0
+        sent.append(len(pick(gateway.handle(131.0, [request(int(900 + level))]), StartAttempt)))
+    assert sent == [1, 0]
+    assert gateway.early_rejection(131.0, request(990)) is not None
