Free what a backend connection received as soon as it is given up

What callers would see: a process over its memory limit, which is killed, when many backends stop within their replies and few requests are refused before.

Cause: a connection that is closed counts as holding nothing, but its parser's buffer stayed until the transport let go of the protocol, an event-loop iteration and a garbage collection later. Attempts that are given up for want of memory are retried at once, so several such buffers stood for each one that the budget counted.

Change: closing replaces the parser. The new unit test fails on the parent (50,012 bytes kept) and passes.

--- a/corkdeal/net/backend_connection.py
+++ b/corkdeal/net/backend_connection.py
@@ -223,6 +223,7 @@
             return
         self.ended, self.attempt = True, None
         self.pool.budget.set_held(self, 0)
+        self.parser = Parser()  # the transport keeps this object for a while, but not what it received
         self.pool.remove(self)
         if self.response_stream:
             self.response_stream.handle_backend_close()
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -557,6 +557,15 @@
                 self.reactor.advance(wait)
                 self.assertEqual((self.ended, pool.open), ([Status.RESET], set()))
 
+    def test_a_connection_that_is_given_up_keeps_nothing_of_a_reply(self):
+        pool, attempt = self.connecting_attempt()
+        attempt.rpc = types.SimpleNamespace(body=None, parts=lambda timeout: [b"x"])
+        connection, _ = self.establish()
+        connection.dataReceived(b"*3\r\n$60000\r\n" + bytes(50_000))
+        self.assertGreater(len(connection.parser.buf), 50_000)
+        pool.abandon(attempt, Status.CANCELLED)
+        self.assertEqual((len(connection.parser.buf), connection.held_bytes), (0, 0))
+
     def test_an_answer_that_comes_in_pieces_is_waited_for_but_not_for_ever(self):
         for pieces, status in ((3, Status.OK), (9, Status.RESET)):
             _, attempt = self.connecting_attempt()
