Decide on waits, early rejections and retries by the time that the caller has left

What callers saw: requests were refused with most of their time left (expected to take over 0.45 of the time to the class's latency objective, or waiting for a backend past half of it), and lost answers were given up or kept by the objective. First tries alone were refused as late.

Cause: request_lifecycle measured against min(objective, deadline).

Change, one rule for each attempt, first or further: it starts if its answer is expected, with the deviation of answers (as in RFC 6298), before the caller stops waiting; another backend is taken where the best one would be late. Without a backend a request waits while an attempt still fits. An attempt may take half of its caller's time before its connection is presumed lost, and only if a retry is expected in time. A backend counts as hanging only past what its queue explains; else an overload of three gateways cancelled work and sent it again until next to nothing was in time.

--- a/corkdeal/decisions/backend_selection.py
+++ b/corkdeal/decisions/backend_selection.py
@@ -18,6 +18,7 @@
 
 SAME_ZONE_COST = 0.95  # factor on the cost of a backend in the same zone
 COST_JITTER = 0.1  # maximum random fraction added to the cost
+STALE_RECORD_AGE = 1.0  # s without an attempt after which the record of a backend is not relied on
 
 
 class BackendSelection:
@@ -57,13 +58,23 @@
                 backend.failures or backend in request.tried_backends for backend in candidates
             ):
                 candidates = self.candidates(request, self.warm_backends(now), now) or candidates
-            best = min(candidates, key=lambda backend: self.cost(backend, now), default=None)
+            best = self.best_of(candidates, request, now)
             if best is None or self.slow_start.capacity_fraction(best, now) >= 1.0:
                 return best
             if self.slow_start.spend_credit(best, self.latency_model.work(request)):
                 return best
             usable.remove(best)
 
+    def best_of(
+        self, candidates: list[BackendRecord], request: PendingRequest, now: float
+    ) -> BackendRecord | None:
+        """Return the candidate with the lowest cost; one that is expected late only if all are."""
+        best = min(candidates, key=lambda backend: self.cost(backend, now), default=None)
+        if best is None or not self.is_expected_late(best, request, now):
+            return best
+        in_time = [b for b in candidates if not self.is_expected_late(b, request, now)]
+        return min(in_time, key=lambda backend: self.cost(backend, now), default=best)
+
     def warm_backends(self, now: float) -> list[BackendRecord]:
         """Return all warmed-up backends, preferred or not."""
         return [b for b in self.backends.records.values() if self.slow_start.capacity_fraction(b, now) >= 1.0]
@@ -131,8 +142,29 @@
             * tie_break
         )
 
-    def expected_latency(self, backend: BackendRecord, request: PendingRequest, now: float) -> float:
-        """Return the expected latency of one more request at this backend, in s."""
+    def is_expected_late(self, backend: BackendRecord, request: PendingRequest, now: float) -> bool:
+        """Return whether the answer of this backend is expected after the caller has stopped waiting.
+
+        A backend that was not used for a while is tried: its record may be outdated.
+        """
+        if not backend.in_flight and now - backend.last_attempt_at > STALE_RECORD_AGE:
+            return False
+        return self.latest_latency(backend, request, backend.load(now), now) > request.deadline - now
+
+    def latest_latency(
+        self, backend: BackendRecord, request: PendingRequest, load: float, now: float
+    ) -> float:
+        """Return the latency in s within which this backend is expected to answer if it has this load."""
+        return self.latency_model.latest_latency(request, load, self.present_latency_ratio(backend, now))
+
+    def may_answer_in_time(
+        self, request: PendingRequest, now: float, excluded: BackendRecord | None = None
+    ) -> bool:
+        """Return whether a backend to which a request may go is expected to answer it in time."""
+        candidates = self.candidates(request, self.backends.preferred, now)
+        return any(b is not excluded and not self.is_expected_late(b, request, now) for b in candidates)
+
+    def present_latency_ratio(self, backend: BackendRecord, now: float) -> float:
+        """Return the backend's latency relative to a warmed-up one with the fleet's latency ratio."""
         latency_ratio = 1 + (backend.latency_ratio - 1) * backend.freshness(now)
-        latency_ratio /= self.slow_start.capacity_fraction(backend, now)
-        return self.latency_model.expected_latency(request, backend.load(now), latency_ratio)
+        return latency_ratio / self.slow_start.capacity_fraction(backend, now)
--- a/corkdeal/decisions/backends.py
+++ b/corkdeal/decisions/backends.py
@@ -15,7 +15,8 @@
 from .events import Endpoint, EndpointState, EndpointUpdate, UpdateKind
 
 SUBSET_SIZE = 10  # backends that each gateway of a large tier prefers
-RECORD_DECAY_TIME = 5.0  # s without an attempt until the weight of a record decays to 1 / e
+RECORD_LIFETIME = 1.0  # s without an attempt until a record begins to decay
+RECORD_DECAY_TIME = 5.0  # s from then until its weight is 1 / e
 LOAD_REPORT_LIFETIME = 2.0  # s until the weight of a load report reaches 0
 
 
@@ -74,7 +75,8 @@
 
         The decay ensures that a backend with a bad record is tried again.
         """
-        return math.exp((self.last_attempt_at - now) / RECORD_DECAY_TIME)
+        age = max(0.0, now - self.last_attempt_at - RECORD_LIFETIME)
+        return math.exp(-age / RECORD_DECAY_TIME)
 
 
 class Backends:
--- a/corkdeal/decisions/outlier_detection.py
+++ b/corkdeal/decisions/outlier_detection.py
@@ -31,9 +31,7 @@
 MAX_CLASS_REJECTION_TIME = 16.0  # s for which a backend is avoided for a class that it rejected
 CLASS_REJECTION_DECAY = 0.8  # factor that each success applies to that time
 HANG_MIN_SILENCE = 0.4  # s without an answer before a backend counts as hanging
-HANG_LATENCY_FACTOR = 4.0  # the same minimum, as a multiple of the usual latency
-LOST_OBJECTIVE_FRACTION = 0.25  # of the latency objective; minimum age of a lost attempt
-LOST_LATENCY_FACTOR = 12.0  # the same minimum, as a multiple of the expected latency
+SLOW_LATENCY_FACTOR = 4.0  # multiple of the usual latency within which no attempt counts as hanging or lost
 
 
 class OutlierDetection:
@@ -74,14 +72,27 @@
         backend.ejected_until = now + backend.ejection_time * self.ejection_factor
         backend.failures = max(backend.failures, EJECTION_FAILURES)
 
-    def is_hanging(self, backend: BackendRecord, sent_at: float, usual_latency: float, now: float) -> bool:
-        """Return whether the backend has been silent too long with an attempt in flight since `sent_at`."""
+    def is_hanging(
+        self,
+        backend: BackendRecord,
+        sent_at: float,
+        usual_latency: float,
+        latest_latency: float,
+        now: float,
+    ) -> bool:
+        """Return whether the backend has been silent too long with an attempt in flight since `sent_at`.
+
+        `latest_latency` is the latency within which that attempt was expected to be answered.
+        """
         silence = now - max(sent_at, backend.last_answer_at)
-        return silence > max(HANG_MIN_SILENCE, HANG_LATENCY_FACTOR * usual_latency)
+        return silence > max(HANG_MIN_SILENCE, SLOW_LATENCY_FACTOR * usual_latency, latest_latency)
 
-    def is_lost(self, age: float, latency_objective: float, expected_latency: float) -> bool:
-        """Return whether an attempt is so late that its own connection is presumed dead."""
-        return age > max(LOST_OBJECTIVE_FRACTION * latency_objective, LOST_LATENCY_FACTOR * expected_latency)
+    def is_lost(self, age: float, time_left: float, usual_latency: float, latest_latency: float) -> bool:
+        """Return whether the connection of an attempt of this age is presumed dead.
+
+        An attempt may take half of the time that its caller had, so that a retry has as long.
+        """
+        return age > max(time_left, SLOW_LATENCY_FACTOR * usual_latency, latest_latency)
 
     def is_rejecting(self, backend: BackendRecord, request_class: int, now: float) -> bool:
         """Return whether the backend is avoided for this class of requests."""
--- a/corkdeal/decisions/pending_request.py
+++ b/corkdeal/decisions/pending_request.py
@@ -21,8 +21,7 @@
     request_class: RequestClass
     account: Account
     units: float  # its units, or 1 if the plan limits only concurrency
-    arrived_at: float
-    deadline: float
+    deadline: float  # when its caller stops waiting
     is_inside_quota: bool = True  # whether it was within the customer's quota on arrival
     attempts: int = 0
     backend: BackendRecord | None = None  # backend of the attempt in flight
--- a/corkdeal/decisions/request_lifecycle.py
+++ b/corkdeal/decisions/request_lifecycle.py
@@ -24,9 +24,6 @@
 from .settings import Effect, Settings
 from .slow_start import SlowStartBudget
 
-LATE_FRACTION = 0.45  # of the time left; a request expected to take longer is rejected early
-STALE_RECORD_AGE = 1.0  # s without an attempt after which the record of a backend is not relied on
-
 
 class RequestHost(Protocol):
     """What the handling of requests needs of its gateway."""
@@ -143,7 +140,6 @@
             self.settings.classes[request.request_class],
             account,
             request.units if account.plan.rate else 1.0,
-            self.host.now - request.unread_time,
             self.host.now + request.timeout,
         )
         self.pending[request.id] = pending
@@ -165,6 +161,7 @@
         request_id = self.deadline_timers.expire(token)
         request = None if request_id is None else self.pending.get(request_id)
         if request is not None and not request.is_streaming:
+            self._learn_unanswered(request)
             self.finish_unserved(request, RejectionReason.DEADLINE)
 
     def dispatch_waiting(self) -> None:
@@ -183,7 +180,7 @@
         backend = self._choose_backend(request)
         if backend is None:
             self._queue_waiting(request)
-        elif request.attempts == 0 and self._is_expected_late(request, backend):
+        elif self.backend_selection.is_expected_late(backend, request, self.host.now):
             self.finish_unserved(request, RejectionReason.LATE)
         else:
             self._start_attempt(request, backend)
@@ -194,26 +191,17 @@
             return None
         return self.backend_selection.choose(request, self.host.now, self.host.quota_fraction)
 
-    def _time_left(self, request: PendingRequest) -> float:
-        """Return the seconds until the latency objective or the deadline, whichever is sooner."""
-        objective_at = request.arrived_at + request.request_class.latency_objective
-        return min(objective_at, request.deadline) - self.host.now
-
     def _queue_waiting(self, request: PendingRequest) -> None:
-        """Queue a request for the next scan while over half of its objective is left, else reject it."""
-        if self._time_left(request) > request.request_class.latency_objective / 2:
+        """Queue a request for the next scan while its caller's time allows an attempt, else reject it."""
+        if self._is_time_for_attempt(request):
             self.waiting.append(request.request.id)
         else:
             self.finish_unserved(request, RejectionReason.NO_BACKEND)
 
-    def _is_expected_late(self, request: PendingRequest, backend: BackendRecord) -> bool:
-        """Return whether to reject a request early, to leave capacity to those that can be served in time."""
-        is_idle = not backend.in_flight and self.host.now - backend.last_attempt_at > STALE_RECORD_AGE
-        if is_idle:  # its record may be outdated
-            return False
-        capacity_fraction = self.slow_start.capacity_fraction(backend, self.host.now)
-        latency = self.backend_selection.expected_latency(backend, request, self.host.now) * capacity_fraction
-        return latency > LATE_FRACTION * self._time_left(request)
+    def _is_time_for_attempt(self, request: PendingRequest) -> bool:
+        """Return whether a usual, idle backend is expected to answer while the caller still waits."""
+        latest = self.latency_model.latest_latency(request, load=0.0, latency_ratio=1.0)
+        return self.host.now + latest < request.deadline
 
     def _start_attempt(self, request: PendingRequest, backend: BackendRecord) -> None:
         """Start an attempt; the first one takes the units from the bucket and the hard limit."""
@@ -340,30 +328,52 @@
         capacity_fraction = self.slow_start.capacity_fraction(backend, self.host.now)
         self.latency_model.learn(request, backend, latency, load, capacity_fraction)
 
+    def _learn_unanswered(self, request: PendingRequest) -> None:
+        """Update the latency model from the attempt of a caller who stops waiting, if one is in flight.
+
+        The silence of an ejected backend is a fault of its own and tells nothing of the load.
+        """
+        backend = request.backend
+        attempt = None if backend is None else backend.in_flight.get(request.request.id)
+        if backend is None or attempt is None or self._is_ejected(backend):
+            return
+        sent_at, load = attempt
+        capacity_fraction = self.slow_start.capacity_fraction(backend, self.host.now)
+        self.latency_model.learn_unanswered(
+            request, backend, self.host.now - sent_at, load, capacity_fraction
+        )
+
+    def _is_ejected(self, backend: BackendRecord) -> bool:
+        """Return whether a backend is ejected, and few enough are for the cause to be its own."""
+        return backend.is_ejected and not self.outlier_detection.is_panicking(self.backends.preferred)
+
     def check_attempt(self, request_id: int, backend: BackendRecord) -> None:
         """Eject a hanging backend, and cancel a hanging or lost attempt that can be retried in time."""
         request = self.pending.get(request_id)
         if request is None or request.is_streaming or request.is_cancelled:
             return
-        sent_at, _ = backend.in_flight.get(request_id, (self.host.now, 0.0))
+        now = self.host.now
+        sent_at, load = backend.in_flight.get(request_id, (now, 0.0))
         usual_latency = self.latency_model.usual_latency(request)
-        if self.outlier_detection.is_hanging(backend, sent_at, usual_latency, self.host.now):
-            self.outlier_detection.eject(backend, self.host.now)
-        elif not self.outlier_detection.is_lost(
-            self.host.now - sent_at,
-            request.request_class.latency_objective,
-            self.backend_selection.expected_latency(backend, request, self.host.now),
+        latest_latency = self.backend_selection.latest_latency(backend, request, load, now)
+        if self.outlier_detection.is_hanging(backend, sent_at, usual_latency, latest_latency, now):
+            self.outlier_detection.eject(backend, now)
+            may_retry = self._may_cancel_and_retry(request, excluded=backend)
+        elif self.outlier_detection.is_lost(
+            now - sent_at, request.deadline - now, usual_latency, latest_latency
         ):
+            may_retry = self._may_cancel_and_retry(request)
+        else:
             return
-        if self._may_cancel_and_retry(request, usual_latency):
+        if may_retry:
             request.is_cancelled = True
             self.host.actions.append(CancelAttempt(request_id, request.attempts - 1))
 
-    def _may_cancel_and_retry(self, request: PendingRequest, usual_latency: float) -> bool:
-        """Return whether an attempt in flight may be cancelled and retried in time."""
+    def _may_cancel_and_retry(self, request: PendingRequest, excluded: BackendRecord | None = None) -> bool:
+        """Return whether an attempt may be cancelled, and a backend is expected to answer a retry in time."""
         return (
             request.request_class.effect is not Effect.NOT_IDEMPOTENT
             and self.settings.may_cancel
             and self._may_retry(request)
-            and self.host.now + usual_latency < request.arrived_at + request.request_class.latency_objective
+            and self.backend_selection.may_answer_in_time(request, self.host.now, excluded)
         )
--- a/corkdeal/decisions/settings.py
+++ b/corkdeal/decisions/settings.py
@@ -27,8 +27,8 @@
     """One kind of request.
 
     Attributes:
-        latency_objective: time within which an answer counts as on time, s.
-        deadline: time after which an answer is useless, s.
+        latency_objective: as configured, s; unused by the decisions.
+        deadline: longest time that a caller of this class waits, s.
         priority_weight: weight among classes; unused by the decisions.
         late_share: fraction of the weight that a late answer keeps; unused by the decisions.
         effect: whether a request may run twice.
