Treat first tries and repeats alike, but for what may have run

What callers saw: with the same time left and the same load, a further attempt was answered otherwise than a first one, and a repeat that its client had marked counted otherwise than a new request.

Cause and change: - A retry of a request that has not run took a token of the retry budget in a tier of up to eight gateways and none in a larger one. It leaves as much work as a new request; neither takes one now. Whether it is in time is decided where a first attempt's is. - The admission ramp after a start or a stall held back first attempts alone. - In a ring a client's marked repeat was no demand, in an aggregated set it was.

Tests: test_callers_time.py plays the whole decision module with drawn settings: other objectives, weights, prices and slacks change no action, nor do marks; a retry and a new request are decided alike in 600 drawn pairs.

--- a/corkdeal/decisions/admission.py
+++ b/corkdeal/decisions/admission.py
@@ -61,13 +61,11 @@
         plan = account.plan
         return plan.rate or IN_FLIGHT_UTILIZATION * plan.max_in_flight / self.attempt_time()
 
-    def record_demand(self, customer: int, account: Account, units: float, is_retry: bool) -> None:
-        """Count a request as demand; in a ring, the retry of a rejected request is not counted again."""
+    def record_demand(self, customer: int, account: Account, units: float) -> None:
+        """Count a request as demand, also if it will be rejected or is a client's retry."""
+        account.add_demand(units)
         if account.is_aggregated:
-            account.add_demand(units)
             self.scheduler.mark_pending(customer, account)
-        elif not is_retry:
-            account.add_demand(units)
 
     def is_within_quota(self, account: Account, units: float, share: float, now: float) -> bool:
         """Return whether the units fit into the quota, as far as this gateway knows."""
--- a/corkdeal/decisions/events.py
+++ b/corkdeal/decisions/events.py
@@ -91,7 +91,7 @@
         first_gateway: first gateway of the customer's set, to which its requests go.
         member_count: size of that set, counted from the first gateway on.
         timeout: time for which the client still waits, s.
-        is_retry: whether the client marked it as a retry.
+        is_retry: whether the client marked it as a retry; unused by the decisions.
         is_write: whether it modifies data.
     """
 
--- a/corkdeal/decisions/extensions.py
+++ b/corkdeal/decisions/extensions.py
@@ -13,7 +13,7 @@
 
 
 class AdmissionRamp(Protocol):
-    """A limit on first attempts during the first seconds after a start or a stall."""
+    """A limit on attempts during the first seconds after a start or a stall."""
 
     def try_admit(self, now: float, in_flight: int) -> bool:
         """Return whether one more attempt may start beside `in_flight` others; if so it is counted."""
--- a/corkdeal/decisions/gateway.py
+++ b/corkdeal/decisions/gateway.py
@@ -98,7 +98,7 @@
             self.slow_start,
             self.outlier_detection,
         )
-        self.retries = Retries(settings, is_large_tier)
+        self.retries = Retries(settings)
 
     def _create_quota_components(self) -> None:
         settings = self.settings
@@ -270,8 +270,8 @@
         """Return the rate at which the account may spend, in units/s."""
         return self.admission.rate(account)
 
-    def may_start_first_attempt(self) -> bool:
-        """Return whether the admission ramp, if any, admits a first attempt, which is then counted."""
+    def may_start_attempt(self) -> bool:
+        """Return whether the admission ramp, if any, admits one more attempt, which is then counted."""
         ramp = self.admission_ramp
         return ramp is None or ramp.try_admit(self.now, len(self.requests.attempts_in_flight))
 
--- a/corkdeal/decisions/request_lifecycle.py
+++ b/corkdeal/decisions/request_lifecycle.py
@@ -42,8 +42,8 @@
     def has_room_for(self, customer: int, /) -> bool:
         """Return whether the customer has an account, or may get one."""
 
-    def may_start_first_attempt(self) -> bool:
-        """Return whether the admission ramp after a start or a stall, if any, admits a first attempt."""
+    def may_start_attempt(self) -> bool:
+        """Return whether the admission ramp after a start or a stall, if any, admits one more attempt."""
 
 
 class RequestLifecycle:
@@ -96,7 +96,7 @@
         if not account.plan.rate:
             return None
         account.last_request_at = self.host.now
-        self.admission.record_demand(request.customer, account, request.units, request.is_retry)
+        self.admission.record_demand(request.customer, account, request.units)
         return max(self.settings.tick, self.admission.retry_after(account, request.units, share))
 
     def handle_request(self, request: Request) -> None:
@@ -111,13 +111,13 @@
         account.last_request_at = self.host.now
         self.accounts.mark_active(request.customer, account)
         pending = self._add_pending(request, account)
-        self.admission.record_demand(request.customer, account, pending.units, request.is_retry)
+        self.admission.record_demand(request.customer, account, pending.units)
         self.host.actions.append(
             self.deadline_timers.set(request.id, request.timeout - 2 * self.settings.tick)
         )
         pending.is_inside_quota = self._is_inside_quota(account, request.units, share)
         reason = self.admission.rejection_reason(account, request.units, pending.is_inside_quota)
-        if reason is None and not self.host.may_start_first_attempt():
+        if reason is None and not self.host.may_start_attempt():
             reason = RejectionReason.NO_CAPACITY
         if reason is None:
             self.dispatch(pending)
@@ -209,7 +209,7 @@
         if request.attempts == 0:
             account.hard_limit_level -= request.request.units
             account.spend(request.units)
-            self.retries.on_first_attempt()
+        self.retries.on_attempt(request)
         account.in_flight += 1
         backend.start_attempt(request_id, self.host.now)
         self.attempts_in_flight[request_id, request.attempts] = (backend, account)
@@ -271,11 +271,12 @@
             request.may_have_run_on = backend
         request.backend = None
         request.is_streaming = False
-        if self._may_retry(request):
-            self.retries.on_retry(event.status)
-            self.dispatch(request)
-        else:
+        if not self.retries.may_retry(request, may_have_run=request.may_have_run_at is not None):
             self.finish_unserved(request, RejectionReason.ATTEMPTS_FAILED)
+        elif not self.host.may_start_attempt():
+            self.finish_unserved(request, RejectionReason.NO_CAPACITY)
+        else:
+            self.dispatch(request)
 
     def handle_stream_started(self, event: StreamStarted) -> None:
         """Mark a request whose answer has begun, so that neither deadline nor retry ends it.
@@ -293,10 +294,6 @@
         if backend is not None and not request.request_class.is_streaming:
             backend.start_streaming(event.id)
 
-    def _may_retry(self, request: PendingRequest) -> bool:
-        """Return whether the request may be retried now."""
-        return self.retries.may_retry(request, self.latency_model.usual_latency(request), self.host.now)
-
     def _learn(self, backend: BackendRecord, event: AttemptEnded) -> None:
         """Update backend records and models from an attempt's outcome and its load report."""
         load = backend.end_attempt(event.id, self.host.now)
@@ -374,6 +371,6 @@
         return (
             request.request_class.effect is not Effect.NOT_IDEMPOTENT
             and self.settings.may_cancel
-            and self._may_retry(request)
+            and self.retries.may_retry(request, may_have_run=True)
             and self.backend_selection.may_answer_in_time(request, self.host.now, excluded)
         )
--- a/corkdeal/decisions/retries.py
+++ b/corkdeal/decisions/retries.py
@@ -4,11 +4,14 @@
 
 - the request is idempotent, or has an idempotency key, or no attempt of it can have run;
 - it had fewer attempts than `Settings.max_attempts`;
-- the retry budget has a token left: each first attempt adds a fraction of a token and each retry takes one,
-  so that retries cannot multiply the load on failing backends (a retry storm);
-- its usual latency fits before its deadline.
+- no attempt of it can have run, or the retry budget has a token left.
 
-Times are in seconds, `now` is the clock of the gateway.
+Whether the retry can be answered in time, and where it goes, is decided as for a first attempt. A request
+that no backend has begun leaves as much work as a new one, so nothing else sets it apart. One that may have
+run makes the backends work twice for one caller: each first attempt adds a fraction of a token to the budget
+and each such retry takes one, so that they cannot multiply the load on failing backends (a retry storm).
+
+Times are in seconds.
 """
 
 from __future__ import annotations
@@ -25,31 +28,27 @@
 class Retries:
     """The retry policy and the retry budget of one gateway."""
 
-    def __init__(self, settings: Settings, is_large_tier: bool) -> None:
+    def __init__(self, settings: Settings) -> None:
         self.max_attempts = settings.max_attempts
-        self.is_large_tier = is_large_tier
         self.budget = MAX_RETRY_BUDGET
 
-    def on_first_attempt(self) -> None:
-        """Add the fraction of a token for a first attempt to the budget."""
-        self.budget = min(MAX_RETRY_BUDGET, self.budget + RETRY_FRACTION)
+    def on_attempt(self, request: PendingRequest) -> None:
+        """Add to the budget for a first attempt, or take a token for one of a request that may have run."""
+        if request.attempts == 0:
+            self.budget = min(MAX_RETRY_BUDGET, self.budget + RETRY_FRACTION)
+        elif request.may_have_run_at is not None:
+            self.budget = max(0.0, self.budget - 1)
 
-    def on_retry(self, failure: Status) -> None:
-        """Take a token from the budget; in a large tier, retries after a rejection are free."""
-        if not (self.is_large_tier and failure is Status.REJECTED):
-            self.budget -= 1
+    def may_retry(self, request: PendingRequest, may_have_run: bool) -> bool:
+        """Return whether effect, attempts and budget all permit another attempt.
 
-    def may_retry(self, request: PendingRequest, usual_latency: float, now: float) -> bool:
-        """Return whether effect, attempts, budget and deadline all permit another attempt."""
-        is_repeatable = request.may_have_run_at is None or (
-            request.request_class.effect is not Effect.NOT_IDEMPOTENT
-        )
-        return (
-            is_repeatable
-            and request.attempts < self.max_attempts
-            and self.budget >= 1
-            and now + usual_latency < request.deadline
-        )
+        `may_have_run` is whether an attempt may have run by the time of the retry.
+        """
+        if request.attempts >= self.max_attempts:
+            return False
+        if not may_have_run:
+            return True
+        return request.request_class.effect is not Effect.NOT_IDEMPOTENT and self.budget >= 1
 
 
 def is_client_retry_safe(request: PendingRequest) -> bool:
