Let a connection take half of the time that its request's caller has left to come up

What callers saw: a backend that does not accept connections held a request for a quarter of the shortest class's latency objective, whatever time its caller had left; one with little time was left none for a retry elsewhere.

Change: the settings' connect_timeout, and at most half of the time that is left for this request, so that a retry has as long.

--- a/corkdeal/net/backend_connection.py
+++ b/corkdeal/net/backend_connection.py
@@ -30,7 +30,7 @@
 REUSE_DELAY = 0.007  # s between a reply and reuse: bytes after the reply must not be read as the next RPC's
 # s that a reply may take between two reads, and from its first byte to its last
 REPLY_STALL_TIMEOUT, REPLY_TIMEOUT = 0.1, 0.3
-CONNECT_TIMEOUT_SHARE = 0.25  # share of the shortest latency objective that connecting may take
+CONNECT_TIMEOUT_SHARE = 0.5  # share of the time left that connecting may take; a retry has as long
 ABORTED = Failure(ConnectionAborted())
 
 
@@ -311,8 +311,7 @@
             has_free_descriptor,
         )
         self.on_stream_start, self.may_write, self.budget = on_stream_start, may_write, budget
-        latency_objective = min(c.latency_objective for c in settings.classes)
-        self.connect_timeout = min(settings.connect_timeout, CONNECT_TIMEOUT_SHARE * latency_objective)
+        self.max_connect_timeout = settings.connect_timeout
         self.idle_limit = settings.idle_timeout * IDLE_TIMEOUT_SHARE
         self.addresses: dict[str, tuple[str, int]] = {}
         self.started: dict[str, float] = {}  # s; when the process of each backend started, 0 for long ago
@@ -346,9 +345,8 @@
         conn = BackendConnection(self, attempt.backend, attempt)
         self.open.add(conn)
         self.opened += 1
-        conn.connector = self.reactor.connectTCP(
-            *address, BackendConnectionFactory(conn), timeout=self.connect_timeout
-        )
+        timeout = min(self.max_connect_timeout, CONNECT_TIMEOUT_SHARE * (attempt.deadline - now))
+        conn.connector = self.reactor.connectTCP(*address, BackendConnectionFactory(conn), timeout=timeout)
 
     def schedule_write_deadline(self, attempt: Attempt) -> None:
         """Abandon the attempt at its `write_by`, unless it is fully written by then."""
