Drop the unread time from requests, which only the latency objective needed

Cause: the decisions took it off the time since a request's arrival to measure against the objective. The time that a caller has left is counted without it: the timeout is reduced by it where the command is parsed.

Change: the field, and the two places that filled it, are gone. What lay unread still counts, as tests/recovery and tests/test_net_parsers hold.

--- a/corkdeal/decisions/events.py
+++ b/corkdeal/decisions/events.py
@@ -105,7 +105,6 @@
     timeout: float
     is_retry: bool = False
     is_write: bool = False
-    unread_time: float = 0.0  # s unread or in a queue before, already deducted from timeout
 
 
 @dataclass(slots=True, frozen=True)
--- a/corkdeal/net/rpc.py
+++ b/corkdeal/net/rpc.py
@@ -81,7 +81,7 @@
         self.deadline = now - waited + self.request.timeout
         if waited:
             left = max(0.0, self.request.timeout - waited)
-            self.request = dataclasses.replace(self.request, timeout=left, unread_time=waited)
+            self.request = dataclasses.replace(self.request, timeout=left)
 
     def release(self) -> None:
         """Free the command once no attempt can need it any more."""
@@ -157,7 +157,6 @@
                 max(0.0, deadline - now),
                 parameters.get(b"r") == b"1",
                 is_write,
-                waited,
             ),
             rid,
             frame,
