Allow a started backend half of the mean capacity, not one deployment's smallest

Cause: MAX_DRAW_FRACTION, the most of its budget N that a backend in slow start is sent by random draws, was 0.7 since the smallest machine of one deployment has 0.7 of the mean capacity.

Change: half of N, so that the budget holds for backends down to half of the mean. What callers get for it: a backend of that size does not fall under them.

--- a/corkdeal/decisions/slow_start.py
+++ b/corkdeal/decisions/slow_start.py
@@ -30,7 +30,8 @@
 
 MAX_BUCKET_SHARERS = 40  # gateways that use buckets; more use random draws
 BUCKET_FRACTION = 0.6  # of N; the rest allows for the content of the buckets
-MAX_DRAW_FRACTION = 0.7  # of N; the smallest backend has this fraction of the mean capacity
+# of N; a started backend may be that much smaller than the mean, and no list gives its capacity for certain
+MAX_DRAW_FRACTION = 0.5
 MIN_DRAW_FRACTION = 0.25  # of N, lower bound on the gain
 SQRT_MARGIN = 0.7  # subtracted from sqrt(N), as above
 SAVED_REQUESTS = 0.2  # credit is saved for the time in which a warm backend gets this many requests
