Let no request wait longer in a queue than nearly all callers could

What callers would see: with the rule on the time left alone, in an overload that lasts, those with little time are next to never served. Others keep the queue longer than they can wait; as many are served with a shorter one.

Cause: backends answer in order of arrival, and each caller could join a queue as long as its own time.

Change: decisions/wait_limit.py. The wait is also held to a low quantile (a tenth) of the time that requests could wait, by stochastic approximation.

--- a/corkdeal/decisions/admission.py
+++ b/corkdeal/decisions/admission.py
@@ -34,7 +34,7 @@
     QUOTA = "quota"  # beyond the quota
     NO_CAPACITY = "opening"  # beyond the plan's hard limit or the admission ramp after a start
     NO_BACKEND = "no_server"  # no usable backend
-    LATE = "late"  # no answer is expected while its caller waits, so rejected early
+    LATE = "late"  # the wait would be too long for its caller, or for most; rejected early
     ATTEMPTS_FAILED = "tried"  # all attempts failed, and no further retry is permitted
     DEADLINE = "deadline"
     TOO_MANY_ACCOUNTS = "accounts"  # no room for one more customer's account
--- a/corkdeal/decisions/backend_selection.py
+++ b/corkdeal/decisions/backend_selection.py
@@ -15,6 +15,7 @@
 from .pending_request import PendingRequest
 from .settings import DeduplicationScope, Effect, Settings
 from .slow_start import SlowStartBudget
+from .wait_limit import WaitLimit
 
 SAME_ZONE_COST = 0.95  # factor on the cost of a backend in the same zone
 COST_JITTER = 0.1  # maximum random fraction added to the cost
@@ -39,6 +40,7 @@
         self.latency_model = latency_model
         self.slow_start = slow_start
         self.outlier_detection = outlier_detection
+        self.wait_limit = WaitLimit()
         self.has_idempotent_class = any(c.effect is Effect.IDEMPOTENT for c in settings.classes)
 
     def choose(self, request: PendingRequest, now: float, quota_fraction: float) -> BackendRecord | None:
@@ -68,11 +70,11 @@
     def best_of(
         self, candidates: list[BackendRecord], request: PendingRequest, now: float
     ) -> BackendRecord | None:
-        """Return the candidate with the lowest cost; one that is expected late only if all are."""
+        """Return the candidate with the lowest cost; one with too long a wait only if all have."""
         best = min(candidates, key=lambda backend: self.cost(backend, now), default=None)
-        if best is None or not self.is_expected_late(best, request, now):
+        if best is None or not self.is_wait_too_long(best, request, now):
             return best
-        in_time = [b for b in candidates if not self.is_expected_late(b, request, now)]
+        in_time = [b for b in candidates if not self.is_wait_too_long(b, request, now)]
         return min(in_time, key=lambda backend: self.cost(backend, now), default=best)
 
     def warm_backends(self, now: float) -> list[BackendRecord]:
@@ -142,14 +144,21 @@
             * tie_break
         )
 
-    def is_expected_late(self, backend: BackendRecord, request: PendingRequest, now: float) -> bool:
-        """Return whether the answer of this backend is expected after the caller has stopped waiting.
+    def is_wait_too_long(self, backend: BackendRecord, request: PendingRequest, now: float) -> bool:
+        """Return whether this backend is expected to answer too late, or its queue is over the limit.
 
         A backend that was not used for a while is tried: its record may be outdated.
         """
         if not backend.in_flight and now - backend.last_attempt_at > STALE_RECORD_AGE:
             return False
-        return self.latest_latency(backend, request, backend.load(now), now) > request.deadline - now
+        latest = self.latest_latency(backend, request, backend.load(now), now)
+        wait = latest - self.latest_latency(backend, request, 0.0, now)
+        return latest > request.deadline - now or self.wait_limit.is_exceeded(wait)
+
+    def record_slack(self, request: PendingRequest, now: float) -> None:
+        """Record how long a request that is about to be dispatched could wait."""
+        attempt_time = self.latency_model.latest_latency(request, load=0.0, latency_ratio=1.0)
+        self.wait_limit.record(request.deadline - now - attempt_time)
 
     def latest_latency(
         self, backend: BackendRecord, request: PendingRequest, load: float, now: float
@@ -162,7 +171,7 @@
     ) -> bool:
         """Return whether a backend to which a request may go is expected to answer it in time."""
         candidates = self.candidates(request, self.backends.preferred, now)
-        return any(b is not excluded and not self.is_expected_late(b, request, now) for b in candidates)
+        return any(b is not excluded and not self.is_wait_too_long(b, request, now) for b in candidates)
 
     def present_latency_ratio(self, backend: BackendRecord, now: float) -> float:
         """Return the backend's latency relative to a warmed-up one with the fleet's latency ratio."""
--- a/corkdeal/decisions/request_lifecycle.py
+++ b/corkdeal/decisions/request_lifecycle.py
@@ -180,7 +180,9 @@
         backend = self._choose_backend(request)
         if backend is None:
             self._queue_waiting(request)
-        elif self.backend_selection.is_expected_late(backend, request, self.host.now):
+            return
+        self.backend_selection.record_slack(request, self.host.now)
+        if self.backend_selection.is_wait_too_long(backend, request, self.host.now):
             self.finish_unserved(request, RejectionReason.LATE)
         else:
             self._start_attempt(request, backend)
