Predict latencies only where an attempt may be overdue, and once for each decision

Cause: each scan predicted the latency of each attempt in flight, and the limit on waits predicted twice.

--- a/corkdeal/decisions/backend_selection.py
+++ b/corkdeal/decisions/backend_selection.py
@@ -151,8 +151,9 @@
         """
         if not backend.in_flight and now - backend.last_attempt_at > STALE_RECORD_AGE:
             return False
-        latest = self.latest_latency(backend, request, backend.load(now), now)
-        wait = latest - self.latest_latency(backend, request, 0.0, now)
+        load = backend.load(now)
+        latest = self.latest_latency(backend, request, load, now)
+        wait = latest - latest / self.latency_model.queueing(load)
         return latest > request.deadline - now or self.wait_limit.is_exceeded(wait)
 
     def record_slack(self, request: PendingRequest, now: float) -> None:
--- a/corkdeal/decisions/outlier_detection.py
+++ b/corkdeal/decisions/outlier_detection.py
@@ -72,6 +72,11 @@
         backend.ejected_until = now + backend.ejection_time * self.ejection_factor
         backend.failures = max(backend.failures, EJECTION_FAILURES)
 
+    def may_be_overdue(self, backend: BackendRecord, sent_at: float, deadline: float, now: float) -> bool:
+        """Return whether an attempt is old enough to be hanging or lost; `deadline` is its caller's."""
+        silence = now - max(sent_at, backend.last_answer_at)
+        return silence > HANG_MIN_SILENCE or now - sent_at > deadline - now
+
     def is_hanging(
         self,
         backend: BackendRecord,
--- a/corkdeal/decisions/request_lifecycle.py
+++ b/corkdeal/decisions/request_lifecycle.py
@@ -353,6 +353,8 @@
             return
         now = self.host.now
         sent_at, load = backend.in_flight.get(request_id, (now, 0.0))
+        if not self.outlier_detection.may_be_overdue(backend, sent_at, request.deadline, now):
+            return
         usual_latency = self.latency_model.usual_latency(request)
         latest_latency = self.backend_selection.latest_latency(backend, request, load, now)
         if self.outlier_detection.is_hanging(backend, sent_at, usual_latency, latest_latency, now):
--- a/tests/decisions/test_outlier_detection.py
+++ b/tests/decisions/test_outlier_detection.py
@@ -119,6 +119,14 @@
     assert not detection.is_lost(1.1, time_left=1.0, usual_latency=0.3, latest_latency=0.3)
 
 
+def test_an_attempt_is_looked_at_once_its_backend_is_silent_or_half_of_its_callers_time_has_passed():
+    detection, backend_in_use = OutlierDetection(is_large_tier=False), backend()
+    backend_in_use.last_answer_at = 100.9
+    assert not detection.may_be_overdue(backend_in_use, 100.0, 102.1, 101.0)
+    assert detection.may_be_overdue(backend_in_use, 100.0, 101.9, 101.0)
+    assert detection.may_be_overdue(backend_in_use, 100.0, 109.0, 100.9 + HANG_MIN_SILENCE + 0.01)
+
+
 def test_past_the_maximum_fraction_no_ejection_counts():
     detection, backends = OutlierDetection(is_large_tier=False), [backend(str(k)) for k in range(10)]
     most = int(MAX_EJECTED_FRACTION * 10)
