Keep a plan's hard limit over both processes of an upgrade

Cause: Account.refill filled the hard limit at the gateway's whole part whatever fraction of the quota the process had, and also once it had handed everything over.

Change: it fills at the process's fraction and holds no more.

--- a/corkdeal/decisions/accounts.py
+++ b/corkdeal/decisions/accounts.py
@@ -100,8 +100,12 @@
         moved = sum(ledger.received_share for ledger in self.ledgers.values())
         return max(0.0, 1 / self.member_count + moved / SHARE_STEPS)
 
-    def refill(self, now: float, share: float, may_shrink: bool) -> None:
-        """Advance bucket, hard limit and demand to `now`; `may_shrink` permits a lower level."""
+    def refill(self, now: float, share: float, may_shrink: bool, quota_fraction: float = 1.0) -> None:
+        """Advance bucket, hard limit and demand to `now`; `may_shrink` permits a lower level.
+
+        `share` is what of the quota may be spent here; `quota_fraction` is what of this gateway's part of the
+        hard limit may, if another process has the rest.
+        """
         elapsed = now - self.refilled_at
         self.refilled_at = now
         if self.is_aggregated and not elapsed:
@@ -110,7 +114,7 @@
         self.level = level if may_shrink else max(self.level, level)
         time_constant = AGGREGATED_DEMAND_TIME_CONSTANT if self.is_aggregated else DEMAND_TIME_CONSTANT
         self.demand *= math.exp(-elapsed / time_constant)
-        fraction = 1 / self.member_count if self.is_member else 0.0
+        fraction = quota_fraction / self.member_count if self.is_member else 0.0
         self.hard_limit_level = min(
             self.plan.hard_limit_burst * fraction,
             self.hard_limit_level + self.plan.hard_limit_rate * fraction * elapsed,
--- a/corkdeal/decisions/gateway.py
+++ b/corkdeal/decisions/gateway.py
@@ -263,7 +263,7 @@
         quota_share = 1.0 if account.is_aggregated else self.quota_share(account)
         share = self.quota_fraction * quota_share
         may_shrink = self.membership is None or self.membership.is_share_exclusive(account)
-        account.refill(self.now, share, may_shrink)
+        account.refill(self.now, share, may_shrink, self.quota_fraction)
         return share
 
     def rate(self, account: Account) -> float:
--- a/tests/decisions/test_accounts.py
+++ b/tests/decisions/test_accounts.py
@@ -60,6 +60,15 @@
     assert member.hard_limit_level == 3.0
 
 
+@pytest.mark.parametrize(("quota_fraction", "level"), [(0.4, 0.6), (0.0, 0.0)])
+def test_the_hard_limit_fills_at_the_fraction_that_this_process_has(quota_fraction, level):
+    account = table(0).create(7, 0, 0, 2, now=100.0)
+    account.refill(101.0, share=0.5, may_shrink=True, quota_fraction=quota_fraction)
+    assert account.hard_limit_level == pytest.approx(level)
+    account.refill(200.0, share=0.5, may_shrink=True, quota_fraction=quota_fraction)
+    assert account.hard_limit_level == pytest.approx(3.0 * quota_fraction)
+
+
 def test_demand_is_averaged_over_its_time_constant():
     account = table().create(7, 0, 0, 2, now=100.0)
     account.add_demand(4.0)
--- a/tests/persistence/test_quota_handover.py
+++ b/tests/persistence/test_quota_handover.py
@@ -157,6 +157,23 @@
             assert units <= PLAN.burst + PLAN.rate * (now - EPOCH) + 1e-6
 
 
+def test_both_processes_together_keep_the_hard_limit():
+    plan = Plan(rate=50.0, burst=500.0, hard_limit_rate=2.0, hard_limit_burst=4.0, name="p")
+    settings = dataclasses.replace(ONE, plans=(plan,))
+    old = Process(settings)
+    for second in range(10):
+        old.ask(EPOCH + second, units=1e-3)
+    start = EPOCH + 10.0
+    new, partial, _ = hand_over_partial_state(old, start)
+    admitted = 0
+    for tick in range(400):
+        now = start + tick / 20
+        if tick == 200:
+            hand_over_remainder(old, new, partial, now)
+        admitted += old.ask(now) + new.ask(now)
+    assert 30 <= admitted <= plan.hard_limit_burst + plan.hard_limit_rate * 20.0
+
+
 def test_an_old_process_of_two_gateways_rejects_what_comes_after_it_gave_all():
     ring = FakeTier(2)
     ring.spread = 2
