Bound the restored queueing factor again, by the gateways that share a backend

Change: a restored factor is at most the number of gateways, for each request in flight may have one of every other gateway before it. The test holds both ends again.

--- a/corkdeal/decisions/state_transfer.py
+++ b/corkdeal/decisions/state_transfer.py
@@ -43,7 +43,9 @@
             for record in fleet.usual_latencies
         }
         self._restore_incarnation(fleet, quota_restore)
-        self.latency_model.queueing_factor = max(0.0, fleet.pace)
+        # each request in flight may have one of every other gateway before it
+        max_queueing_factor = float(self.settings.gateway_count)
+        self.latency_model.queueing_factor = max(0.0, min(max_queueing_factor, fleet.pace))
         self.latency_model.fleet_latency_ratio = max(0.0, fleet.latency_ratio)
         self.retries.budget = max(0.0, min(MAX_RETRY_BUDGET, fleet.retry_budget))
 
--- a/tests/decisions/test_state_transfer.py
+++ b/tests/decisions/test_state_transfer.py
@@ -79,13 +79,16 @@
     assert transfer.peers.incarnations.peers == ({1: 55} if has_resumed else {})
 
 
-def test_values_out_of_range_are_clamped():
+@pytest.mark.parametrize("pace", [-7.0, 7.0])
+def test_values_out_of_range_are_clamped(pace):
     transfer = make()
     transfer.restore_fleet(
-        FakeState(FLEET._replace(pace=-7.0, latency_ratio=-1.0, retry_budget=1e9)), 100.0, None
+        FakeState(FLEET._replace(pace=pace, latency_ratio=-1.0, retry_budget=1e9)), 100.0, None
     )
     model = transfer.latency_model
-    assert (model.queueing_factor, model.fleet_latency_ratio) == (0.0, 0.0)
+    factor = 0.0 if pace < 0 else float(transfer.settings.gateway_count)
+    assert factor < 7.0
+    assert (model.queueing_factor, model.fleet_latency_ratio) == (factor, 0.0)
     assert transfer.retries.budget == MAX_RETRY_BUDGET
 
 
