--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -4,7 +4,6 @@
 
 import itertools
 import math
-import socket
 from collections import deque
 from typing import Any
 
@@ -16,7 +15,7 @@
 from zope.interface import implementer
 
 from .. import logs
-from . import vectored_write
+from . import client_transport, vectored_write
 from .budget import MIN_READ_SIZE, REQUEST_MEMORY
 from .close_reason import CloseReason
 from .connection_memory import ConnectionMemory
@@ -726,10 +725,7 @@
         """Return whether there are unread bytes, whose request would be lost by closing now."""
         if self._buffer or self.has_unparsed_input:  # read and not parsed
             return True
-        try:
-            return bool(self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-        except OSError:  # no bytes, or the connection is broken
-            return False
+        return client_transport.has_unread_bytes(self.transport.getHandle())
 
     def readConnectionLost(self) -> None:
         """The client has sent its FIN: it has closed, or only stopped sending; the two look the same.
--- a/corkdeal/net/client_port.py
+++ b/corkdeal/net/client_port.py
@@ -12,12 +12,16 @@
 
 from twisted.internet import tcp
 
+from .client_transport import ClientTransport
+
 MAX_ACCEPTS = 16  # connections accepted in one reactor iteration, at about 0.3 ms each; the rest stay queued
 
 
 class ClientPort(tcp.Port):
     """A listening socket that accepts at most `MAX_ACCEPTS` connections per reactor iteration."""
 
+    transport = ClientTransport
+
     def doRead(self) -> None:
         """Accept some of the queued connections; the reactor calls again while any are left."""
         self.numberAccepts = min(self.numberAccepts, MAX_ACCEPTS)
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -44,7 +44,7 @@
 from ..decisions.gateway import Gateway as Decisions
 from ..decisions.retries import NEVER_RAN
 from ..decisions.settings import Effect
-from . import client_connection, client_port, invariants
+from . import client_connection, client_port, invariants, process_memory
 from .backend_connection import Attempt, BackendPool, Reply
 from .budget import (
     ACCOUNT_MEMORY,
@@ -109,7 +109,9 @@
         self.parsing_queue = ParsingQueue(reactor, self.now)
         self.budget = Budget(budget_for(config.memory))
         self.name_memory = NameMemory()
-        self.memory_log = MemoryLog(self.budget, self.now, lambda: self.name_memory.held_bytes)
+        self.memory_log = MemoryLog(
+            self.budget, self.now, lambda: self.name_memory.held_bytes, process_memory.resident_bytes
+        )
         self.descriptors = Descriptors(config.sockets, self.client_connections, self.now)
         self.pool = BackendPool(
             reactor,
--- a/corkdeal/net/memory_log.py
+++ b/corkdeal/net/memory_log.py
@@ -1,4 +1,4 @@
-"""Logs what clients and backends make the process hold, when the pressure on the memory budget changes."""
+"""Logs the memory of the process, and what clients and backends make it hold."""
 
 from __future__ import annotations
 
@@ -8,24 +8,38 @@
 from .budget import Budget, Pressure
 
 MIN_INTERVAL = 1.0  # s between two log lines
+PEAK_STEP = 1 / 16  # of the first resident size; growth of the peak that is logged
 
 
 class MemoryLog:
     """Writes the log event `memory`.
 
-    `now` returns the time in s, and `name_bytes` how many bytes are held for names that clients choose.
+    `now` returns the time in s, `name_bytes` how many bytes are held for names that clients choose, and
+    `resident_bytes` the memory of the process.
     """
 
-    def __init__(self, budget: Budget, now: Callable[[], float], name_bytes: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        budget: Budget,
+        now: Callable[[], float],
+        name_bytes: Callable[[], int],
+        resident_bytes: Callable[[], int],
+    ) -> None:
         self.budget, self.now, self.name_bytes = budget, now, name_bytes
+        self.resident_bytes = resident_bytes
+        self.logged_peak = 0  # resident bytes
         self.logged = Pressure.NONE
         self.next_at = 0.0  # s
 
     def update(self) -> None:
-        """Log the pressure, if it has changed."""
-        pressure = self.budget.pressure
-        if pressure is self.logged or self.now() < self.next_at:
+        """Log the pressure if it has changed, and a peak of the process that is higher by a step."""
+        pressure, resident = self.budget.pressure, self.resident_bytes()
+        if not self.logged_peak:
+            self.logged_peak = resident
+        is_new_peak = resident > self.logged_peak * (1 + PEAK_STEP)
+        if not (is_new_peak or pressure is not self.logged) or self.now() < self.next_at:
             return
+        self.logged_peak = max(self.logged_peak, resident)
         self.next_at = self.now() + MIN_INTERVAL
         logs.event(
             "memory",
@@ -37,5 +51,6 @@
             collected=self.budget.answers.total,
             bodies=len(self.budget.incomplete_bodies),
             names=self.name_bytes(),
+            resident=resident,
         )
         self.logged = pressure
--- a/corkdeal/net/operators.py
+++ b/corkdeal/net/operators.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from .. import logs
+from . import process_memory
 from .close_reason import CloseReason
 from .endpoint_list import EndpointList
 
@@ -52,6 +53,7 @@
             "loop_late_ms": round(1000 * self.gateway.lateness.max_lateness),
             "memory_held": self.gateway.budget.total,
             "memory_budget": self.gateway.budget.limit,
+            "memory_resident": process_memory.resident_bytes(),
         }
 
     def enter_standby(self) -> bool:
--- a/tests/test_memory_log.py
+++ b/tests/test_memory_log.py
@@ -26,7 +26,7 @@
 
 def test_each_change_of_pressure_is_one_line_and_not_too_many(lines):
     budget, clock = Budget(8 * MAX_VALUE), types.SimpleNamespace(time=100.0)
-    log = MemoryLog(budget, lambda: clock.time, lambda: 7)
+    log = MemoryLog(budget, lambda: clock.time, lambda: 7, lambda: 1000)
     holder = Holder()
     for size in (0, budget.crowded_mark + 1, budget.high_mark + 1, budget.limit, budget.limit, 0):
         budget.set_held(holder, size)
@@ -40,3 +40,12 @@
     budget.set_held(holder, budget.limit)
     log.update()
     assert len(lines) == 4
+
+
+def test_a_process_that_grows_is_logged_without_pressure(lines):
+    clock, process = types.SimpleNamespace(time=100.0), types.SimpleNamespace(resident=1000)
+    log = MemoryLog(Budget(8 * MAX_VALUE), lambda: clock.time, lambda: 0, lambda: process.resident)
+    for process.resident in (1000, 1010, 1070, 1080, 1000, 1070, 1200):
+        log.update()
+        clock.time += MIN_INTERVAL
+    assert [fields["resident"] for _, fields in lines] == [1070, 1200]
