--- a/tests/faults/test_ids_in_upgrades.py
+++ b/tests/faults/test_ids_in_upgrades.py
@@ -19,8 +19,10 @@
 class Upgrade(Overload):
     """A gateway whose processes share an inherited listening socket."""
 
+    backlog = 128
+
     def start_gateway(self):
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=self.backlog)
         self.processes = []
         super().start_gateway()
         self.process.kill()  # the one that the base class starts has no inherited socket
--- a/tests/faults/world.py
+++ b/tests/faults/world.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 import time
+from typing import ClassVar
 
 from corkdeal.experiment.soak.services import BackendModel, FakeBackend
 from corkdeal.net.resp import encode_command
@@ -124,6 +125,8 @@
 class Overload:
     """A gateway process with `memory_mb` and 1,024 descriptors, and three backends."""
 
+    more_config: ClassVar = {}  # further keys of the configuration
+
     def __init__(self, memory_mb, reply=reply_small, settings=None, descriptors=DESCRIPTORS):
         self.memory_mb, self.reply, self.settings = memory_mb, reply, settings or SETTINGS
         self.descriptors = descriptors
@@ -155,6 +158,7 @@
             "seed": "8c1f",
             "limits": {"memory_mb": self.memory_mb, "sockets": self.descriptors},
             "settings": self.settings,
+            **self.more_config,
         }
         self.port = int(self.config["listen"].rpartition(":")[2])
         path = pathlib.Path(self.folder.name, "config.json")
