Read little of a command that begins while the memory budget is used up

Cause: the budget was asked after a read. The first read of each new command brought 8 KiB, and its request was kept and made to wait, whatever was held already; with 900 connections that is more than half of the budget of a process of 64 MB. That bodies which become readable in one iteration each add a piece was excluded: a paused connection leaves the reactor's table, and held grew with the number of bodies only.

Change: the transport asks its connection before each read how much to read: 1 KiB of a command above the high mark. A long value that begins above the limit is rejected by its head with -BUSY, and the rest of it discarded, as a short command already was.

--- a/corkdeal/net/budget.py
+++ b/corkdeal/net/budget.py
@@ -5,10 +5,11 @@
 answer (see `answer_reservations`), and the customers' accounts. Pressure grows in three steps:
 
 - Above the crowded mark connections may have few pending requests, and read less at once.
-- Above the high mark only the oldest incomplete body may grow, and no new long value is begun. At the low
-  mark the waiting holders resume, in the order in which they began to wait.
-- Above the limit no body may grow, new requests are rejected, and answers are not kept for clients that do
-  not take them.
+- Above the high mark only the oldest incomplete body may grow, and no new long value is begun; of what else
+  clients send little is read at once. At the low mark the waiting holders resume, in the order in which they
+  began to wait.
+- Above the limit no body may grow, new requests are rejected, those with a long value by their heads, and
+  answers are not kept for clients that do not take them.
 
 Among incomplete bodies the oldest can be received completely, since the high mark is one longest value below
 the limit, and complete ones are freed by their deadlines.
@@ -36,6 +37,7 @@
 ID_MEMORY = 200  # bytes of the id of a request that has ended
 ID_FRACTION = 0.03  # of the budget; for such ids
 MIN_READ_SIZE = 8 << 10  # bytes read at once from one client
+MIN_READ_SIZE_WHEN_FULL = 1 << 10  # bytes; the head of a command, and little of the value behind it
 MAX_READ_SIZE = 64 << 10
 READ_ROOM_FRACTION = 1 / 8  # of the free bytes; for one read of each incomplete body
 
@@ -122,7 +124,11 @@
         """Return whether an answer of that size may wait for its turn or for its client."""
         return self.waiting_answers + size <= self.max_waiting_answers and self.total + size <= self.limit
 
-    def read_size(self) -> int:
+    def command_read_size(self) -> int:
+        """Return how many bytes to read at once from a client that is not sending a body."""
+        return MIN_READ_SIZE_WHEN_FULL if self.is_full else MIN_READ_SIZE
+
+    def body_read_size(self) -> int:
         """Return how many bytes of a body to read at once: less where many bodies share little room."""
         room = (self.limit - self.total) * READ_ROOM_FRACTION / max(1, len(self.incomplete_bodies))
         return int(max(MIN_READ_SIZE, min(MAX_READ_SIZE, room)))
--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -16,7 +16,7 @@
 
 from .. import logs
 from . import client_transport, vectored_write
-from .budget import MIN_READ_SIZE, REQUEST_MEMORY
+from .budget import REQUEST_MEMORY
 from .close_reason import CloseReason
 from .connection_memory import ConnectionMemory
 from .descriptors import MIN_SILENT_TIME
@@ -115,7 +115,6 @@
         what it has sent is rejected before it is closed, unless there are many such connections.
         """
         self.transport.setTcpNoDelay(True)
-        self.transport.bufferSize = MIN_READ_SIZE  # of one read
         self.update_memory()
         self.transport.registerProducer(self, True)  # backpressure: a client that does not read is not read
         self.gateway.client_connections.add(self)
@@ -134,6 +133,12 @@
         else:
             self.reply_and_drop(TOO_MANY_CLIENTS, CloseReason.DESCRIPTORS)
 
+    def read_size(self) -> int:
+        """Return how many bytes to read next; asked before each read."""
+        if self.body is not None and self.parser.value_left:
+            return self.gateway.budget.body_read_size()
+        return self.gateway.budget.command_read_size()
+
     def rawDataReceived(self, data: bytes) -> None:
         """Handle received bytes, at once or when this connection's turn comes."""
         if self.terminating:
@@ -310,9 +315,7 @@
                 self.enqueue(rpc)
                 rpc.body = self.body = RequestStream(self.gateway.budget, self, rpc)
                 self.body.start()
-                if (wait := self.early_retry_after(rpc)) is not None:
-                    count("refused_at_head")
-                    self.reject_body(self.body, wait)
+                self.reject_at_head(rpc)
             except BadRequestError as error:
                 self.body = RequestStream(self.gateway.budget, self, None)
                 self.body.start()
@@ -327,6 +330,15 @@
             return True
         return self.receive_body()
 
+    def reject_at_head(self, rpc: RPC) -> None:
+        """Reject a command before its long value has come, if that can't be taken or will not be sent on."""
+        if self.gateway.budget.is_exhausted:
+            count("request_without_memory")
+            self.reject_body(rpc.body, 0.0)
+        elif (wait := self.early_retry_after(rpc)) is not None:
+            count("refused_at_head")
+            self.reject_body(rpc.body, wait)
+
     def early_retry_after(self, rpc: RPC) -> float | None:
         """Return the Retry-After in s if a command can be rejected by its head alone, else None."""
         if self.is_refusing or self.is_shedding():
@@ -337,15 +349,13 @@
         """Take the available bytes of a large value; return whether the value is complete."""
         while (piece := self.parser.piece()) is not None:
             self.body.receive(piece)
-        is_complete = not self.parser.value_left
-        self.transport.bufferSize = MIN_READ_SIZE if is_complete else self.gateway.budget.read_size()
-        return is_complete
+        return not self.parser.value_left
 
     def reject_body(self, body: RequestStream, after: float) -> None:
         """Reject a command whose large value is still being received; the rest of it is discarded."""
         if body.rpc is not None:
             body.rpc.reply = [self.gateway.reject_early(body.rpc, after)]
-            body.drop()
+            body.rpc.release()
             self.update_reading()
             self.flush()
 
--- a/corkdeal/net/client_transport.py
+++ b/corkdeal/net/client_transport.py
@@ -19,7 +19,15 @@
 
 
 class ClientTransport(tcp.Server):
-    """A server transport that counts the connections which are closed over unread bytes, by reason."""
+    """A server transport whose connection says how much to read.
+
+    It counts the connections that are closed over unread bytes, by the reason of the close.
+    """
+
+    def doRead(self) -> Any:
+        """Read once."""
+        self.bufferSize = self.protocol.read_size()
+        return super().doRead()
 
     def connectionLost(self, reason: Any) -> None:
         """Close the socket; may be called again."""
