Count the items of incomplete commands, and end large ones while memory is used up

What operators saw: memory beyond what the budget counts, with many clients that stop within a command.

Cause: of an incomplete command its bytes were counted, not the records of its items: 200 bytes for each of up to 64, against the 7 bytes that a client sends for one. And an incomplete command could grow to 16 KiB above the limit of the budget, with 875 connections 14 MB.

Evidence: 907 connections with 60 words of one byte each held 15.4 MB more than at rest, of which 4.9 were counted.

Change: items are counted. While the budget is used up, a connection whose incomplete command is above 6 KiB gets an error line (command_without_memory) and is closed. A test that held 27 bytes for a partial command holds 27 and two items now, as exactly.

--- a/corkdeal/net/budget.py
+++ b/corkdeal/net/budget.py
@@ -31,6 +31,7 @@
 PROCESS_MEMORY = 40 << 20  # bytes that the process uses before its first client
 HELD_FRACTION = 0.55  # of the rest of the limit; the allocator and objects of short life need some, too
 CONNECTION_MEMORY = 5 << 10  # bytes of a client connection that is idle
+ITEM_MEMORY = 200  # bytes of one item of an incomplete command, without its content
 REQUEST_MEMORY = 3 << 10  # bytes of a pending request without its command, with its records and timers
 ACCOUNT_MEMORY = 800  # bytes of one customer's account, with its place in tables
 ACCOUNT_FRACTION = 0.2  # of the budget; for customers' accounts
--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -16,7 +16,7 @@
 
 from .. import logs
 from . import client_transport, vectored_write
-from .budget import REQUEST_MEMORY
+from .budget import ITEM_MEMORY, REQUEST_MEMORY
 from .close_reason import CloseReason
 from .connection_memory import ConnectionMemory
 from .descriptors import MIN_SILENT_TIME
@@ -39,6 +39,9 @@
 MAX_PENDING_WHEN_CROWDED = 8  # the same, while the memory budget is crowded
 MAX_SHORT_VALUE = 4 << 10  # bytes; a command's longer value is received in pieces, see `request_stream`
 MAX_COMMAND_SIZE = 16 << 10  # bytes of a command without a longer value
+# bytes of an incomplete command, to which it may grow while the memory budget is used up; longer than a
+# request's head with a value of MAX_SHORT_VALUE
+MAX_COMMAND_WITHOUT_MEMORY = 6 << 10
 WRITE_BATCH = 64 << 10  # bytes of replies that are written at once
 SHORT_ANSWER = 256  # bytes; answers up to that are always kept for their clients
 IMMEDIATE_REPLY_MEMORY = 256  # bytes of an immediate reply, besides its text
@@ -53,6 +56,7 @@
 KERNEL_TICK = 0.01  # s; the longest tick of any kernel configuration
 LINGER = 0.5  # s between checks whether the client has taken all, so that the connection can be closed
 OK = b"+OK\r\n"
+NO_COMMAND_MEMORY_REPLY = b"-ERR failed: no memory for the command\r\n"
 NO_MEMORY_REPLY = b"-ERR failed: no memory for the answer\r\n"
 TOO_MANY_CLIENTS = b"-ERR max number of clients reached\r\n"
 connection_numbers = itertools.count(1)
@@ -192,9 +196,20 @@
             self.drop_body()
             self.terminating = True
         self.flush()
+        self.end_without_memory()
         if self.has_unparsed_input or self.paused:
             self.update_reading()
 
+    def end_without_memory(self) -> None:
+        """Close a connection with a large incomplete command, while the memory budget is used up."""
+        if (
+            self.gateway.budget.is_exhausted
+            and not (self.terminating or self.has_unparsed_input)
+            and self.unparsed_bytes() > MAX_COMMAND_WITHOUT_MEMORY
+        ):
+            count("command_without_memory")
+            self.reply_and_close(NO_COMMAND_MEMORY_REPLY, CloseReason.NO_MEMORY)
+
     def handle_commands(self, slice_time: float) -> None:
         """Handle the commands that were read, until the time is over or replies have to be taken first."""
         started_at = now = self.gateway.now()
@@ -438,7 +453,11 @@
 
     def buffered_bytes(self) -> int:
         """Return the number of bytes in this process's buffers, of input and of output."""
-        return len(self.parser.buf) + len(self._buffer) + self.unsent_bytes()
+        return self.unparsed_bytes() + len(self._buffer) + self.unsent_bytes()
+
+    def unparsed_bytes(self) -> int:
+        """Return the number of bytes held for an incomplete command, without a long value."""
+        return len(self.parser.buf) + ITEM_MEMORY * len(self.parser.items)
 
     def unsent_bytes(self) -> int:
         """Return the number of bytes written but not yet accepted by the socket."""
--- a/corkdeal/net/close_reason.py
+++ b/corkdeal/net/close_reason.py
@@ -14,6 +14,7 @@
     MALFORMED = "malformed"  # its input is not RESP2
     BAD_REQUESTS = "bad_requests"
     SILENT = "silent"  # no command after connecting
+    NO_MEMORY = "no_memory"  # for the rest of a command
     COMMAND_TIMEOUT = "command_timeout"  # a command was not complete in time
     IDLE = "idle"
     REPLACED = "replaced"  # its descriptor was needed for another connection
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -35,7 +35,7 @@
     resp,
     response_stream,
 )
-from corkdeal.net.budget import CONNECTION_MEMORY, REQUEST_MEMORY, Budget
+from corkdeal.net.budget import CONNECTION_MEMORY, ITEM_MEMORY, REQUEST_MEMORY, Budget
 from corkdeal.net.resp import MAX_INLINE_VALUE, encode_command
 from corkdeal.net.tcp_state import ARRIVAL_AGES, ARRIVAL_AGES_OFFSET
 
@@ -678,7 +678,7 @@
     harness = GatewayWithClient()
     assert harness.held() == 0
     harness.client_connection.dataReceived(b"*3\r\n$8\r\nAPI.READ\r\n$16\r\n0000")
-    assert harness.held() == 27
+    assert harness.held() == 27 + 2 * ITEM_MEMORY
     harness.client_connection.dataReceived(b"000000000007\r\n$3\r\nbad\r\n")  # the whole command is answered
     assert harness.held() == 0
     conn, _ = harness.ask(1)
--- a/tests/test_closed_connections.py
+++ b/tests/test_closed_connections.py
@@ -12,6 +12,7 @@
 
 from .test_idle_connections import PING, make_gateway
 
+CLIENT_TIMEOUT = 5.0  # s
 PARTIAL_COMMAND = b"*5\r\n$8\r\nAPI.RE"
 MANY_WORDS = b"*64\r\n" + b"$1\r\nx\r\n" * 60
 LONG_VALUE = encode_command(
@@ -30,7 +31,7 @@
 def connect(gateway, reactor):
     """A client's socket, and the gateway's connection on a real transport."""
     with socket.create_server(("127.0.0.1", 0)) as listener:
-        client = socket.create_connection(listener.getsockname())
+        client = socket.create_connection(listener.getsockname(), timeout=CLIENT_TIMEOUT)
         handle, address = listener.accept()
     connection = ClientConnectionFactory(gateway).buildProtocol(None)
     connection.makeConnection(ClientTransport(handle, connection, address, None, 0, reactor))
--- a/tests/test_reads_without_memory.py
+++ b/tests/test_reads_without_memory.py
@@ -63,3 +63,27 @@
     client.sendall(write_command(1, b"x" * VALUE_SIZE) + encode_command(b"PING"))
     read_available(connection)
     assert client.recv(100) == b"-BUSY\r\n+PONG\r\n"
+
+
+@pytest.mark.parametrize(
+    "words", [b"$4096\r\n" + b"x" * 4096 + b"\r\n", b"$1\r\nx\r\n"], ids=["long", "short"]
+)
+def test_incomplete_commands_of_many_words_are_counted_and_end_without_memory(exhausted, words):
+    gateway, ends = exhausted
+    before = gateway.budget.total
+    for client, connection in ends:
+        client.sendall(b"*64\r\n" + (words * 60)[:12_000])
+        read_available(connection)
+        assert client.recv(100).startswith(b"-ERR failed: no memory")
+    assert gateway.budget.total <= before
+
+
+def test_a_short_incomplete_command_is_completed_without_memory(exhausted):
+    _, ends = exhausted
+    client, connection = ends[0]
+    command = write_command(1, b"x" * 4000)
+    client.sendall(command[:3000])
+    read_available(connection)
+    client.sendall(command[3000:])
+    read_available(connection)
+    assert client.recv(100) == b"-BUSY\r\n"
