Close a connection behind an answer, or at once after the look for unread bytes

Cause: a connection was looked at for unread bytes, and closed in a later iteration of the event loop. With hundreds of connections that is 50 to 100 ms later, and a connection whose client took its answers slowly was not read for as long as that took. The same look and close served a standby, an upgrade, idle connections and refused ones.

Change: a connection that is to be closed ends behind its next answer, with the FIN in the same segment (MSG_MORE), so no request of a client that waits for its answers can lie between, also if the process is held up there. One that is not used for 0.5 s gets the FIN in the call that follows the look. One whose client has not taken all yet goes on being read. The socket is closed, and not reset, once all is taken. Idle and refused connections go the same way.

Why not only close at once: between the look and the FIN the process may be held up.

--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -4,6 +4,7 @@
 
 import itertools
 import math
+import socket
 from collections import deque
 from typing import Any
 
@@ -17,6 +18,7 @@
 from .. import logs
 from . import client_transport, vectored_write
 from .budget import ITEM_MEMORY, REQUEST_MEMORY
+from .client_transport import count_unread
 from .close_reason import CloseReason
 from .connection_memory import ConnectionMemory
 from .descriptors import MIN_SILENT_TIME
@@ -54,7 +56,12 @@
 HALF_CLOSE_GRACE = 0.05  # s
 UNREAD_WINDOW = 0.25  # s after a pause in which bytes may still be read that arrived during it
 KERNEL_TICK = 0.01  # s; the longest tick of any kernel configuration
-LINGER = 0.5  # s between checks whether the client has taken all, so that the connection can be closed
+# s without a request, after which a connection is closed for a shutdown or a standby; one that is used more
+# often is closed behind an answer, where no request can cross the close
+MIN_QUIET_TIME = 0.5
+# s between checks whether the client has taken all, so that the connection can be closed: after an error, and
+# at first where none was sent
+LINGER, MIN_LINGER = 0.5, 0.01
 OK = b"+OK\r\n"
 NO_COMMAND_MEMORY_REPLY = b"-ERR failed: no memory for the command\r\n"
 NO_MEMORY_REPLY = b"-ERR failed: no memory for the answer\r\n"
@@ -485,9 +492,8 @@
             self.idle_since = self.gateway.now()
             self.idle.update(self)
             if self.terminating:
-                if self.is_shut_down:
-                    return
-                self.linger()
+                if not self.is_shut_down:
+                    self.linger()
             elif self.half_closed:
                 self.close_when_written()
             elif self.closing:
@@ -513,7 +519,11 @@
             self.memory.remove(self.pending_replies.popleft())
 
     def write_batch(self) -> None:
-        """Write complete replies at the head of the queue, until they have `WRITE_BATCH` bytes or more."""
+        """Write complete replies at the head of the queue, until they have `WRITE_BATCH` bytes or more.
+
+        If the connection ends with the last of them, the FIN goes with it, in one segment if it is short: the
+        client can't have sent a request in between.
+        """
         parts: list[vectored_write.Part] = []
         size = 0
         while self.pending_replies and size < WRITE_BATCH:
@@ -523,7 +533,18 @@
             parts += pending.reply
             size += sum(map(len, pending.reply))
             self.memory.remove(self.pending_replies.popleft())
-        self.write(parts)
+        is_last = self.may_end_behind_replies()
+        self.write(parts, socket.MSG_MORE if is_last else 0)
+        if is_last and not vectored_write.pending(self.transport):
+            self.end_between_requests()
+
+    def may_end_behind_replies(self) -> bool:
+        """Return whether a connection that is to be closed may be closed behind what is written next."""
+        return (
+            self.closing
+            and not (self.terminating or self.half_closed or self.pending_replies)
+            and not (self.parser.has_partial_frame or self.has_unread_bytes())
+        )
 
     def write_stream(self, response_stream: ResponseStream) -> bool:
         """Write what the client takes of a streamed reply; return whether all of it is written."""
@@ -554,10 +575,10 @@
             self.command_started_at = self.gateway.now()  # its client could not complete it meanwhile
         self.update_reading()
 
-    def write(self, parts: list[vectored_write.Part]) -> None:
-        """Write parts of replies; a client that does not take them is watched."""
+    def write(self, parts: list[vectored_write.Part], flags: int = 0) -> None:
+        """Write parts of replies, with flags of sendmsg; a client that does not take them is watched."""
         if parts and self.transport.connected:
-            vectored_write.write(self.transport, parts)
+            vectored_write.write(self.transport, parts, flags)
             if self.wait_for_client():
                 self.stalled_readers.watch(self)
 
@@ -572,8 +593,10 @@
         self.update_reading()
         if self.pending_replies:
             self.flush()
-        else:
-            self.update_memory()
+            return
+        self.update_memory()
+        if self.closing:
+            self.close_if_idle()
 
     def written_stream(self) -> ResponseStream | None:
         """Return the large reply that is being written, if there is one."""
@@ -632,12 +655,23 @@
 
         Closing at once, with input unread, would send a reset, which discards what the client has not taken.
         """
-        self.is_shut_down = True
-        self.discard_input()
+        self.end_sending(LINGER)
+
+    def end_sending(self, check_after: float) -> None:
+        """Send the FIN behind what is written, at once if the socket has all of it, and read no more.
+
+        The close follows once the client has taken all; that is checked in `check_after` s.
+        """
+        self.terminating = self.is_shut_down = True
+        self.idle.discard(self)
         self.transport.unregisterProducer()
-        self.transport.loseWriteConnection()
+        if vectored_write.pending(self.transport):
+            self.transport.loseWriteConnection()
+        else:
+            client_transport.end_sending(self.transport.getHandle())
+        self.discard_input()
         self.transport.pauseProducing()  # reading 60 MB to discard it costs more than the connection
-        self.gateway.reactor.callLater(LINGER, self.end_lingering, 0, 0.0)
+        self.gateway.reactor.callLater(check_after, self.end_lingering, check_after, 0, 0.0)
 
     def discard_input(self) -> None:
         """Free what was read and will not be parsed, and report it."""
@@ -650,16 +684,22 @@
         self.clearLineBuffer()
         self.has_unparsed_input = False
 
-    def end_lingering(self, previous_untaken: int, stalled_time: float) -> None:
-        """Close if the client has taken all, or has taken no byte for `CLIENT_STALL_TIMEOUT`."""
+    def end_lingering(self, elapsed: float, previous_untaken: int, stalled_time: float) -> None:
+        """Close if the client has taken all, or has taken no byte for `CLIENT_STALL_TIMEOUT`.
+
+        `elapsed` is the time in s since the check before, which is doubled up to `LINGER`.
+        """
         if self not in self.gateway.client_connections:
             return
         untaken = self.untaken_bytes()
-        stalled_time = stalled_time + LINGER if untaken == previous_untaken else 0.0
-        if not untaken or stalled_time >= CLIENT_STALL_TIMEOUT:
+        stalled_time = stalled_time + elapsed if untaken == previous_untaken else 0.0
+        if not untaken:
+            self.close_now()
+        elif stalled_time >= CLIENT_STALL_TIMEOUT:
             self.transport.abortConnection()
         else:
-            self.gateway.reactor.callLater(LINGER, self.end_lingering, untaken, stalled_time)
+            wait = min(2 * elapsed, LINGER)
+            self.gateway.reactor.callLater(wait, self.end_lingering, wait, untaken, stalled_time)
 
     def close_when_written(self) -> None:
         """Close once all is written; a transport with a paused producer would never close."""
@@ -737,7 +777,10 @@
         self.transport.abortConnection()
 
     def close_when_idle(self, reason: CloseReason = CloseReason.IDLE) -> None:
-        """Close between requests: now or after the last pending reply. Unread requests are served first."""
+        """Close between requests: behind the next reply, or once there was no request for a while.
+
+        Unread requests are served first.
+        """
         if not self.closing and not self.terminating:
             self.set_close_reason(reason)
             self.closing = True
@@ -745,18 +788,30 @@
             self.close_if_idle()
 
     def close_if_idle(self) -> None:
-        """Close, unless a request is pending, or may be on its way on a new connection."""
+        """Close, unless a request is pending, or may be on its way; no call lies between look and FIN."""
         if self.terminating or self.half_closed or self.pending_replies or self.parser.has_partial_frame:
             return
         if self not in self.gateway.client_connections or self.transport.disconnecting:
             return  # it has been closed since this call was scheduled
-        if (
-            not self.has_sent_command
-            and (remaining := MIN_SILENT_TIME - (self.gateway.now() - self.idle_since)) > 0
-        ):
+        if vectored_write.pending(self.transport):
+            return  # until the client has taken all that was written
+        remaining = self.min_quiet_time() - (self.gateway.now() - self.idle_since)
+        if remaining > 0:
             self.gateway.reactor.callLater(remaining, self.close_if_idle)
         elif not self.has_unread_bytes():
-            self.close_when_written()
+            self.end_between_requests()
+
+    def end_between_requests(self) -> None:
+        """Close; right after a look for unread bytes. What has come since is counted."""
+        self.end_sending(MIN_LINGER)
+        if self.has_unread_bytes():
+            count_unread(self.close_reason)
+
+    def min_quiet_time(self) -> float:
+        """Return for how many seconds a connection has to be idle before it is closed without an answer."""
+        if not self.has_sent_command:
+            return MIN_SILENT_TIME
+        return MIN_QUIET_TIME if self.close_reason in (CloseReason.SHUTDOWN, CloseReason.STANDBY) else 0.0
 
     def has_unread_bytes(self) -> bool:
         """Return whether there are unread bytes, whose request would be lost by closing now."""
--- a/corkdeal/net/client_transport.py
+++ b/corkdeal/net/client_transport.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 from typing import Any
 
 from twisted.internet import tcp
 
+from .close_reason import CloseReason
 from .invariants import count
 
 
@@ -18,6 +20,17 @@
         return False
 
 
+def end_sending(handle: Any) -> None:
+    """Send the FIN of a socket at once; one that is broken needs none."""
+    with contextlib.suppress(OSError):
+        handle.shutdown(socket.SHUT_WR)
+
+
+def count_unread(reason: CloseReason | None) -> None:
+    """Count a connection that was closed while bytes lay unread."""
+    count(f"unread_at_close_{reason.value if reason else 'unknown'}")
+
+
 class ClientTransport(tcp.Server):
     """A server transport whose connection says how much to read.
 
@@ -31,7 +44,6 @@
 
     def connectionLost(self, reason: Any) -> None:
         """Close the socket; may be called again."""
-        if hasattr(self, "socket") and has_unread_bytes(self.socket):
-            cause = self.protocol.close_reason
-            count(f"unread_at_close_{cause.value if cause else 'unknown'}")
+        if hasattr(self, "socket") and not self.protocol.is_shut_down and has_unread_bytes(self.socket):
+            count_unread(self.protocol.close_reason)
         super().connectionLost(reason)
--- a/corkdeal/net/vectored_write.py
+++ b/corkdeal/net/vectored_write.py
@@ -19,10 +19,10 @@
     return bool(transport.dataBuffer or transport._tempDataBuffer)
 
 
-def write(transport: Any, parts: list[Part]) -> bool:
+def write(transport: Any, parts: list[Part], flags: int = 0) -> bool:
     """Write parts by one sendmsg; the transport buffers only what the socket does not accept at once.
 
-    Return False if the connection is broken.
+    `flags` are those of sendmsg. Return False if the connection is broken.
     """
     if len(parts) > MAX_PARTS:
         parts = [b"".join(parts)]
@@ -30,7 +30,8 @@
         transport.writeSequence([bytes(p) for p in parts])
         return True
     try:
-        sent = transport.getHandle().sendmsg(parts)
+        handle = transport.getHandle()
+        sent = handle.sendmsg(parts, [], flags) if flags else handle.sendmsg(parts)
     except BlockingIOError:
         sent = 0
     except OSError:  # broken; connectionLost is called in the next reactor iteration
