Have soak clients use connections until their end, at the least memory, and judge closes

New rule: a request sent before the client's socket had seen an end has its answer, unless it crosses the end by less than 0.05 s.

--- a/corkdeal/experiment/soak/clients.py
+++ b/corkdeal/experiment/soak/clients.py
@@ -7,6 +7,7 @@
 import random
 import socket
 import struct
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -27,6 +28,7 @@
 MAX_LONG_BODY = 200_000  # bytes
 RECORDED_BYTES = 100  # of a long answer
 CROWD_PING_INTERVAL = 0.8  # s
+TCP_ESTABLISHED, TCP_STATE_SIZE = 1, 8  # of the kernel's struct tcp_info, whose first byte is the state
 RESET = struct.pack("@ii", 1, 0)  # SO_LINGER that makes a close reset the connection
 
 
@@ -97,6 +99,15 @@
             raise ProtocolError(first_line[:40])
         return first_line
 
+    def is_open(self) -> bool:
+        """Return whether the client's socket has seen no end of the connection."""
+        handle = self.writer.get_extra_info("socket")
+        try:
+            info = handle.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_STATE_SIZE)
+        except OSError:
+            return False
+        return bool(info[0] == TCP_ESTABLISHED)
+
     def reset(self) -> None:
         """Reset the connection."""
         handle = self.writer.get_extra_info("socket")
@@ -172,7 +183,7 @@
 
     async def use(self, connection: Connection, behaviour: Behaviour, rng: random.Random) -> None:
         """Use a connection until the client leaves; raises `EOFError` when the gateway closes it."""
-        for _ in range(rng.randint(*CONNECTION_BATCHES) if behaviour is not Behaviour.NEVER_READ else 0):
+        for _ in range(self.draw_batches(behaviour, rng)):
             if await self.exchange_batch(connection, rng):
                 await asyncio.sleep(REJECTION_PAUSE)
             await asyncio.sleep(self.plan.pause * rng.uniform(0.5, 1.5))
@@ -189,6 +200,13 @@
             case Behaviour.NEVER_READ:
                 await self.never_read(connection, rng)
 
+    def draw_batches(self, behaviour: Behaviour, rng: random.Random) -> int:
+        """Return how often a client sends on a connection before it does what its behaviour says."""
+        if behaviour is Behaviour.NEVER_READ:
+            return 0
+        count = rng.randint(*CONNECTION_BATCHES)
+        return sys.maxsize if self.plan.keeps_connections and behaviour is Behaviour.NORMAL else count
+
     async def half_close(self, connection: Connection, rng: random.Random) -> None:
         """Send the FIN right after some requests, and read their answers."""
         self.send_batch(connection, rng)
@@ -225,6 +243,9 @@
     def send_batch(self, connection: Connection, rng: random.Random) -> None:
         """Send as many requests at once as the plan says."""
         commands = b"".join(self.make_request(connection, rng) for _ in range(self.plan.pipeline))
+        was_open = connection.is_open()
+        for request in connection.record.requests[-self.plan.pipeline :]:
+            request.was_open = was_open
         connection.writer.write(commands)
 
     def make_request(self, connection: Connection, rng: random.Random) -> bytes:
--- a/corkdeal/experiment/soak/plan.py
+++ b/corkdeal/experiment/soak/plan.py
@@ -10,6 +10,8 @@
 LONGEST_DEADLINE = 2.0  # s, of the request classes below
 KILL_DELAY = 0.7  # s that a gateway gets beyond the longest deadline between SIGTERM and SIGKILL
 WARM_UP = 2.0  # s at the start without faults
+KEPT_CONNECTIONS_SHARE = 0.5  # of the runs
+MEMORY_LIMITS_MB = (64, 96)  # of a gateway; the least that the pages name, and half of the usual limit
 DEDUPLICATION_WINDOW = 1.5  # s in which a request with an idempotency key may be repeated
 
 
@@ -96,8 +98,10 @@
     client_count: int
     pipeline: int  # requests that a client sends at once
     pause: float  # s between an answer and the next request
+    keeps_connections: bool  # whether clients use each connection until the gateway ends it
     crowd: int  # idle connections that fill the descriptors; 0 for none
     sockets: int  # `limits.sockets` of the gateways
+    memory_mb: int  # `limits.memory_mb` of the gateways
     backend_count: int
     faults: BackendFaults
     long_values: LongValues
@@ -122,8 +126,10 @@
         client_count=client_count,
         pipeline=rng.choice((1, 1, 2, 4, 8)),
         pause=rng.choice((0.0, 0.005, 0.02)) if client_count <= 25 else rng.uniform(0.1, 0.4),
+        keeps_connections=random.Random(f"soak kept connections {seed}").random() < KEPT_CONNECTIONS_SHARE,
         crowd=crowd,
         sockets=256 if crowd else 1024,
+        memory_mb=random.Random(f"soak memory {seed}").choice(MEMORY_LIMITS_MB),
         backend_count=rng.randint(3, 8),
         faults=draw_faults(rng),
         long_values=draw_long_values(random.Random(f"soak long values {seed}")),
--- a/corkdeal/experiment/soak/processes.py
+++ b/corkdeal/experiment/soak/processes.py
@@ -20,7 +20,6 @@
 from .records import NEW_CONNECTIONS_AFTER_TERM, ProcessRecord, SoakRecord
 from .services import Services
 
-MEMORY_LIMIT_MB = 96
 START_TIMEOUT = 20.0  # s
 POLL_INTERVAL = 0.02  # s between looks at a log, and between looks at a process that is to end
 OBSERVATION_INTERVAL = 0.1  # s between observations of a process
@@ -129,7 +128,7 @@
                     "listen": listen[number],
                     "peer_listen": peers[number],
                     "peers": peers,
-                    "limits": {"sockets": plan.sockets, "memory_mb": MEMORY_LIMIT_MB},
+                    "limits": {"sockets": plan.sockets, "memory_mb": plan.memory_mb},
                     "settings": settings(number),
                 },
                 folder,
--- a/corkdeal/experiment/soak/records.py
+++ b/corkdeal/experiment/soak/records.py
@@ -32,6 +32,7 @@
     answered_at: float | None = None  # its last byte
     answer: bytes = b""  # the first line, and the beginning of the value of a bulk string
     begun_at: float | None = None  # the first bytes of a long answer
+    was_open: bool = False  # whether the client's socket had seen no end of the connection when it was sent
 
     def __str__(self) -> str:
         """One line of the history."""
--- a/corkdeal/experiment/soak/rules.py
+++ b/corkdeal/experiment/soak/rules.py
@@ -30,6 +30,7 @@
 ATTEMPT_SLACK = 0.15  # s past its client's timeout within which an attempt may begin
 DEPARTURE_GRACE = 0.1  # s after a client has left within which an attempt may begin
 MAX_HOLD_UP = 0.15  # s for which a gateway may be held up by its machine and still has to keep all bounds
+MAX_CROSSING = 0.05  # s by which each time limit of the sockets is longer
 SERVICE_SLACK = 0.1  # s by which a fake service may be late with a list, as in the tier's check
 
 
@@ -37,6 +38,7 @@
     """Check all rules; `sockets` and `memory` (bytes) are the limits of each process."""
     return [
         *check_answers(record),
+        *check_closes(record),
         *check_answer_times(record),
         *check_attempt_times(record),
         *check_departures(record),
@@ -96,6 +98,32 @@
     return violations
 
 
+def check_closes(record: SoakRecord) -> list[Violation]:
+    """No request that came before its connection's end stays without an answer, read or not.
+
+    A request may cross the end, and is sent again then; the time limits are `MAX_CROSSING` longer for that.
+    """
+    violations = []
+    for connection in record.connections:
+        end = connection.closed_at
+        if (
+            end is None
+            or not connection.reads_to_end
+            or connection.left_at is not None
+            or record.killed_in_service(connection.gateway, connection.opened_at, end)
+            or record.came_after_last_accept(connection)
+        ):
+            continue
+        for request in connection.requests:
+            latest = end - MAX_CROSSING - record.lateness_around(end)
+            if request.answered_at is not None or not request.was_open or request.sent_at > latest:
+                continue
+            if not was_cut_off_by_backend(record, request, end):
+                violations.append(Violation("no request lost by a close", (str(request), *lines(connection))))
+            break
+    return violations
+
+
 def was_cut_off_by_backend(record: SoakRecord, request: SoakRequest, end: float) -> bool:
     """Whether a long answer had begun and broke off by its backend: it has failed, and is not lost.
 
--- a/corkdeal/experiment/soak/run.py
+++ b/corkdeal/experiment/soak/run.py
@@ -20,7 +20,7 @@
 from . import rules
 from .clients import CLASSES, METERED, METERED_CUSTOMERS, OPEN, Clients
 from .plan import DEDUPLICATION_WINDOW, MAX_STARTS, Plan, draw_plan
-from .processes import MEMORY_LIMIT_MB, Gateways
+from .processes import Gateways
 from .records import SoakRecord
 from .services import WARM_UP_TIME, Services
 
@@ -50,7 +50,9 @@
         late = ", harness too late to judge times" if self.max_lateness > MAX_USEFUL_LATENESS else ""
         return (
             f"seed {self.seed}: {state}, {plan.gateway_count} gateways in {self.process_count} processes, "
-            f"{plan.client_count} clients, pipeline {plan.pipeline}, crowd {plan.crowd}, "
+            f"{plan.memory_mb} MB, {plan.client_count} clients, pipeline {plan.pipeline}, "
+            f"crowd {plan.crowd}, "
+            f"{'connections kept, ' if plan.keeps_connections else ''}"
             f"long answers {100 * plan.long_values.answers:.0f}%, "
             f"of which {100 * plan.long_values.broken_answers:.0f}% broken off, "
             f"{self.answer_count} answers to {self.request_count} requests, "
@@ -121,7 +123,7 @@
             await self.gateways.close()
             self.services.close()
             lateness_task.cancel()
-        return rules.check(self.record, self.quotas(), self.plan.sockets, MEMORY_LIMIT_MB << 20)
+        return rules.check(self.record, self.quotas(), self.plan.sockets, self.plan.memory_mb << 20)
 
     async def measure_lateness(self) -> None:
         """Measure by how much this process's own timers are late."""
--- a/tests/soak/test_rules.py
+++ b/tests/soak/test_rules.py
@@ -104,6 +104,18 @@
     assert broken_rules(record) == {"one final answer"}
 
 
+def test_a_request_that_lay_unread_when_its_connection_was_closed(record):
+    lost = make_request(2, sent_at=8.5, answered_at=None)
+    lost.was_open = True
+    connection_of(record).requests.append(lost)
+    connection_of(record).closed_at = 8.54  # it may have crossed the end
+    assert broken_rules(record) == set()
+    connection_of(record).closed_at = 8.56
+    assert broken_rules(record) == {"no request lost by a close"}
+    lost.was_open = False  # its client could tell that the connection had ended
+    assert broken_rules(record) == set()
+
+
 def test_a_second_answer(record):
     connection_of(record).has_answer_without_request = True
     assert broken_rules(record) == {"one final answer"}
