Close a connection that is replaced instead of resetting it, and keep unwritten answers

Cause: a connection counts as idle once its answer is passed to the transport. One that had been idle for 2 s was replaced with a reset, which discards what the socket, or the process, still has of the answer.

Change: the connection is closed in order, the kernel delivers the rest; one whose transport has bytes to write is not replaced, and is idle from when the socket has taken them.

--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -8,7 +8,7 @@
 from collections import deque
 from typing import Any
 
-from twisted.internet.error import ConnectionAborted, ConnectionDone
+from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import ServerFactory
 from twisted.protocols.basic import LineReceiver
@@ -67,7 +67,7 @@
 NO_MEMORY_REPLY = b"-ERR failed: no memory for the answer\r\n"
 TOO_MANY_CLIENTS = b"-ERR max number of clients reached\r\n"
 connection_numbers = itertools.count(1)
-CLOSED, ABORTED = Failure(ConnectionDone()), Failure(ConnectionAborted())
+CLOSED = Failure(ConnectionDone())
 STANDBY_REPLY = b"-ERR standby\r\n"  # reply to PING; the load balancer takes any reply but PONG as not ready
 
 
@@ -595,6 +595,8 @@
             self.flush()
             return
         self.update_memory()
+        self.idle_since = self.gateway.now()
+        self.idle.update(self)
         if self.closing:
             self.close_if_idle()
 
@@ -758,15 +760,18 @@
         self.close_now()
 
     def drop(self) -> None:
-        """Close at once to free the descriptor for another connection; no request is pending on this one.
+        """Close at once to free the descriptor for another connection; `may_be_replaced` was asked before.
 
-        Twisted's abortConnection frees it in the next reactor iteration only, and many connections may be
-        accepted in this one.
+        It is closed and not reset: the client may not have taken all of its last answer yet. Twisted's
+        loseConnection frees it in a later reactor iteration only, and many connections may be accepted in
+        this one.
         """
         self.set_close_reason(CloseReason.REPLACED)
-        self.terminating = True
-        self.idle.discard(self)
-        self.transport.connectionLost(ABORTED)
+        self.close_now()
+
+    def may_be_replaced(self) -> bool:
+        """Return whether nothing is lost by closing now: no bytes unread, and the socket has all answers."""
+        return not (vectored_write.pending(self.transport) or self.has_unread_bytes())
 
     def close_unread(self) -> None:
         """Close because the client does not read its replies; those that it can't take are discarded."""
--- a/corkdeal/net/descriptors.py
+++ b/corkdeal/net/descriptors.py
@@ -69,11 +69,11 @@
             Use.SEVERAL_REQUESTS: now - MIN_IDLE_TIME,
         }
         while (victim := self.idle.next_to_evict(latest)) is not None:
-            if not victim.has_unread_bytes():
+            if victim.may_be_replaced():
                 count("client_connection_closed_for_another")
                 victim.drop()
                 return True
-            self.idle.defer_eviction(victim)  # its unread bytes are work
+            self.idle.defer_eviction(victim)  # unread bytes are work, and so is an answer to be written
         return False
 
     def sweep(self) -> None:
--- a/corkdeal/net/idle_connections.py
+++ b/corkdeal/net/idle_connections.py
@@ -139,7 +139,7 @@
         return None
 
     def defer_eviction(self, connection: Connection) -> None:
-        """Do not evict a connection with unread bytes; reading them will call `update`."""
+        """Do not evict a connection with bytes to be read or written; doing that will call `update`."""
         for queue in self.evictable.values():
             queue.discard(connection)
 
--- a/tests/test_closed_connections.py
+++ b/tests/test_closed_connections.py
@@ -1,4 +1,4 @@
-"""A connection that has ended leaves nothing behind that only a collection of garbage would free."""
+"""A connection that has ended is freed at once, and its client gets what was written to it."""
 
 import gc
 import socket
@@ -8,10 +8,13 @@
 
 from corkdeal.net.client_connection import CLOSED, ClientConnectionFactory
 from corkdeal.net.client_transport import ClientTransport
+from corkdeal.net.descriptors import MIN_IDLE_TIME
 from corkdeal.net.resp import encode_command
 
+from . import net_fakes
 from .test_idle_connections import PING, make_gateway
 
+ANSWER = b"x" * 60_000
 CLIENT_TIMEOUT = 5.0  # s
 PARTIAL_COMMAND = b"*5\r\n$8\r\nAPI.RE"
 MANY_WORDS = b"*64\r\n" + b"$1\r\nx\r\n" * 60
@@ -70,3 +73,36 @@
         del connection
         assert [each() for each in references] == [None, None]
     assert not gateway.budget.total - gateway.name_memory.held_bytes
+
+
+def receive_all(client):
+    received = bytearray()
+    while data := client.recv(1 << 16):
+        received += data
+    return received
+
+
+# It was reset, which discards what its client has not taken yet of an answer.
+def test_a_connection_that_is_replaced_delivers_what_its_socket_holds():
+    gateway, reactor = make_gateway()
+    client, connection = connect(gateway, reactor)
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    connection.transport.socket.sendall(ANSWER)
+    connection.drop()
+    with client:
+        assert receive_all(client) == ANSWER
+
+
+# It was replaced, and what the process held of an answer was discarded.
+def test_a_connection_is_not_replaced_before_its_socket_has_the_whole_answer():
+    gateway, reactor = make_gateway()
+    connection = net_fakes.connect(gateway)
+    connection.dataReceived(PING)
+    connection.transport.dataBuffer = ANSWER
+    reactor.advance(2 * MIN_IDLE_TIME)
+    assert not gateway.descriptors.evict()
+    connection.transport.dataBuffer = b""
+    connection.resumeProducing()
+    assert not gateway.descriptors.evict()  # it is idle from now on
+    reactor.advance(2 * MIN_IDLE_TIME)
+    assert gateway.descriptors.evict()
