Refuse a memory limit below what the process itself needs

What operators would see: a gateway with limits.memory_mb from 16 to 47 starts, and is killed for memory at rest.

Cause: the least value was 16, while 40 MiB are reserved for the process (37 to 39 at rest) and the budget has 8 MiB at the least, whatever the limit.

Change: 48 is the least; a lower one is an error that names the key.

Measured: the new case of test_messages_name_the_key fails on the parent, passes.

--- a/corkdeal/net/config.py
+++ b/corkdeal/net/config.py
@@ -11,10 +11,13 @@
 
 from ..decisions.settings import Settings
 from ..decisions.settings_parser import SettingsError, parse_settings
+from .budget import MIN_BUDGET, PROCESS_MEMORY
 from .discovery_snapshot import DiscoverySnapshot, ListError, parse_list
 
 Address = tuple[str, int]
 MAX_PORT = 65535
+MIN_MEMORY_MB = (PROCESS_MEMORY + MIN_BUDGET) >> 20  # with less the process passes the limit by itself
+MAX_MEMORY_MB = 1 << 20
 
 
 class ConfigError(ValueError):
@@ -123,8 +126,10 @@
     if type(sockets) is not int or sockets < 32:
         raise ConfigError(f"limits.sockets must be an integer of at least 32, not {sockets!r:.60}")
     memory = limits.get("memory_mb", 192)
-    if type(memory) not in (int, float) or not 16 <= memory <= 1 << 20:
-        raise ConfigError(f"limits.memory_mb must be a number from 16 to 1048576, not {memory!r:.60}")
+    if type(memory) not in (int, float) or not MIN_MEMORY_MB <= memory <= MAX_MEMORY_MB:
+        raise ConfigError(
+            f"limits.memory_mb must be a number from {MIN_MEMORY_MB} to {MAX_MEMORY_MB}, not {memory!r:.60}"
+        )
     if not isinstance(peers, list):
         raise ConfigError("peers must be a JSON array")
     settings = parse_settings_object(raw.get("settings"))
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -257,6 +257,7 @@
             ("settings.classes.0.aim_us", 0, "classes.0.aim_us"),
             ("limits", {"sockets": 3}, "limits.sockets"),
             ("limits", {"memory_mb": 3}, "limits.memory_mb"),
+            ("limits", {"memory_mb": 47}, "limits.memory_mb must be a number from 48 to"),
             ("settings.classes.1.semantics", "odd", "classes.1.semantics"),
             ("peers", ["127.0.0.1:1"], "peers"),
             ("peers", ["127.0.0.1:1", "x"], "peers.1"),
