Send an answer without flags where the system takes none for sendmsg

Cause: an answer that ends its connection is sent with MSG_MORE, which only has the FIN go in the same segment. An error for the flag would have ended the connection without the answer.

Change: EINVAL and EOPNOTSUPP have the answer sent again without flags; other errors are handled as before. Not seen on Linux, which takes the flag.

--- a/corkdeal/net/vectored_write.py
+++ b/corkdeal/net/vectored_write.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import errno
 from typing import Any
 
 from .invariants import count
@@ -19,10 +20,21 @@
     return bool(transport.dataBuffer or transport._tempDataBuffer)
 
 
+def send(handle: Any, parts: list[Part], flags: int) -> int:
+    """Call sendmsg, without the flags if the system takes none; return the bytes sent, or raise `OSError`."""
+    if flags:
+        try:
+            return handle.sendmsg(parts, [], flags)
+        except OSError as error:
+            if error.errno not in (errno.EINVAL, errno.EOPNOTSUPP):
+                raise
+    return handle.sendmsg(parts)
+
+
 def write(transport: Any, parts: list[Part], flags: int = 0) -> bool:
     """Write parts by one sendmsg; the transport buffers only what the socket does not accept at once.
 
-    `flags` are those of sendmsg. Return False if the connection is broken.
+    `flags` are those of sendmsg, as advice. Return False if the connection is broken.
     """
     if len(parts) > MAX_PARTS:
         parts = [b"".join(parts)]
@@ -30,8 +42,7 @@
         transport.writeSequence([bytes(p) for p in parts])
         return True
     try:
-        handle = transport.getHandle()
-        sent = handle.sendmsg(parts, [], flags) if flags else handle.sendmsg(parts)
+        sent = send(transport.getHandle(), parts, flags)
     except BlockingIOError:
         sent = 0
     except OSError:  # broken; connectionLost is called in the next reactor iteration
