Log how many long answers wait for room, and what backend connections' buffers hold

The line `memory` tells neither how many long answers wait with their backends paused, nor what the buffers of backend connections hold, so that memory outside the account can't be told from the allocator's. Change: two fields, `answers_waiting` and `backend_buffers`; computed only when the line is written.

--- a/corkdeal/net/answer_reservations.py
+++ b/corkdeal/net/answer_reservations.py
@@ -89,6 +89,11 @@
         """Whether an answer waits for room."""
         return bool(self.waiting_next or self.waiting_ahead)
 
+    @property
+    def waiting_count(self) -> int:
+        """The number of answers that wait for room."""
+        return len(self.waiting_next) + len(self.waiting_ahead)
+
     def wake(self) -> None:
         """Have waiting answers try again, in their order, until one has to wait longer."""
         if self.is_waking:
--- a/corkdeal/net/backend_connection.py
+++ b/corkdeal/net/backend_connection.py
@@ -144,6 +144,12 @@
         elif self.hold_incomplete() and not had_partial_frame:
             self.schedule_stall_check(self.attempt)
 
+    def buffered_bytes(self) -> int:
+        """Return the bytes received and not yet taken by a stream, and those written but not accepted."""
+        if not self.is_connected:
+            return 0
+        return len(self.parser.buf) + vectored_write.unsent_bytes(self.transport)
+
     def schedule_stall_check(self, attempt: Attempt) -> None:
         """Check the progress of a reply that has begun: it must not hold its request until the deadline."""
         self.pool.reactor.callLater(
@@ -432,6 +438,10 @@
         """Return what tells the listed process of a backend from others: its address, and when it started."""
         return self.addresses.get(backend), self.started.get(backend, 0.0)
 
+    def buffered_bytes(self) -> int:
+        """Return the bytes in the buffers of all backend connections."""
+        return sum(conn.buffered_bytes() for conn in self.open)
+
     def sweep(self) -> None:
         """Close idle connections before the backends do."""
         oldest = self.now() - self.idle_limit
--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -468,7 +468,7 @@
 
     def unsent_bytes(self) -> int:
         """Return the number of bytes written but not yet accepted by the socket."""
-        return len(self.transport.dataBuffer) - self.transport.offset + self.transport._tempDataLen
+        return vectored_write.unsent_bytes(self.transport)
 
     def untaken_bytes(self) -> int:
         """Return the number of bytes written that the client's side has not acknowledged."""
--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -110,7 +110,11 @@
         self.budget = Budget(budget_for(config.memory))
         self.name_memory = NameMemory()
         self.memory_log = MemoryLog(
-            self.budget, self.now, lambda: self.name_memory.held_bytes, process_memory.resident_bytes
+            self.budget,
+            self.now,
+            lambda: self.name_memory.held_bytes,
+            lambda: self.pool.buffered_bytes(),
+            process_memory.resident_bytes,
         )
         self.descriptors = Descriptors(config.sockets, self.client_connections, self.now)
         self.pool = BackendPool(
--- a/corkdeal/net/memory_log.py
+++ b/corkdeal/net/memory_log.py
@@ -23,9 +23,11 @@
         budget: Budget,
         now: Callable[[], float],
         name_bytes: Callable[[], int],
+        backend_buffer_bytes: Callable[[], int],
         resident_bytes: Callable[[], int],
     ) -> None:
         self.budget, self.now, self.name_bytes = budget, now, name_bytes
+        self.backend_buffer_bytes = backend_buffer_bytes
         self.resident_bytes = resident_bytes
         self.logged_peak = 0  # resident bytes
         self.logged = Pressure.NONE
@@ -49,6 +51,8 @@
             limit=self.budget.limit,
             answers=self.budget.waiting_answers,
             collected=self.budget.answers.total,
+            answers_waiting=self.budget.answers.waiting_count,
+            backend_buffers=self.backend_buffer_bytes(),
             bodies=len(self.budget.incomplete_bodies),
             names=self.name_bytes(),
             resident=resident,
--- a/corkdeal/net/vectored_write.py
+++ b/corkdeal/net/vectored_write.py
@@ -20,6 +20,11 @@
     return bool(transport.dataBuffer or transport._tempDataBuffer)
 
 
+def unsent_bytes(transport: Any) -> int:
+    """Return the number of bytes written that the socket has not accepted."""
+    return len(transport.dataBuffer) - transport.offset + transport._tempDataLen
+
+
 def send(handle: Any, parts: list[Part], flags: int) -> int:
     """Call sendmsg, without the flags if the system takes none; return the bytes sent, or raise `OSError`."""
     if flags:
