Count what is read of long answers that wait for room, and read little of them

Cause: a long answer without room paused its backend connection and counted as nothing, though 64 KiB of it had been read; up to 476 of them. Change: backend connections count their buffers, whatever holds them up; of a reply that begins 8 KiB are read, 1 KiB while the budget is crowded, and a short one's rest at once. Why it works: a waiting answer holds its first read alone, and that is part of the total that all marks use.

--- a/corkdeal/net/answer_reservations.py
+++ b/corkdeal/net/answer_reservations.py
@@ -40,8 +40,9 @@
         self.ahead_limit = int(self.limit * AHEAD_SHARE)
         self.total = 0  # bytes reserved
         # The answers that wait for room, in order: those that are next on their connections, and the others.
-        self.waiting_next: dict[CollectedAnswer, None] = {}
-        self.waiting_ahead: dict[CollectedAnswer, None] = {}
+        # The values are the sizes in bytes that they have asked for.
+        self.waiting_next: dict[CollectedAnswer, int] = {}
+        self.waiting_ahead: dict[CollectedAnswer, int] = {}
         self.is_waking = False
 
     def reserve(self, answer: CollectedAnswer, size: int) -> bool:
@@ -52,23 +53,42 @@
             return True
         if answer.is_next():
             self.waiting_ahead.pop(answer, None)
-            self.waiting_next[answer] = None
+            self.waiting_next[answer] = size
+            self.budget.update_body_pause()
         else:
-            self.waiting_ahead[answer] = None
+            self.waiting_ahead[answer] = size
         return False
 
+    @property
+    def wanted(self) -> int:
+        """The bytes that bodies have to leave for the first answer that is next on its connection.
+
+        That is 0 if the answer waits for others that are collected, and not for bodies.
+        """
+        size = next(iter(self.waiting_next.values()), 0)
+        return size if self._is_within_limit(self.total, size) else 0
+
     def _has_room(self, answer: CollectedAnswer, size: int) -> bool:
         """Return whether an answer may hold `size` bytes; one that is next may if no other one holds any."""
         others = self.total - answer.held_bytes
-        if not self._fits_budget(self.budget.total - answer.held_bytes, size):
+        if not self._fits_budget(
+            self.budget.total - answer.held_bytes, size, answer.is_next() and not others
+        ):
             return False
         if answer.is_next():
-            return not others or others + size <= self.limit
+            return self._is_within_limit(others, size)
         return others + size <= self.ahead_limit
 
-    def _fits_budget(self, others: int, size: int) -> bool:
-        """Return whether the budget has room besides what others hold; any value fits an empty one."""
-        return not others or others + size <= self.budget.high_mark
+    def _is_within_limit(self, others: int, size: int) -> bool:
+        """Return whether the answers' part has room besides `others`; any value fits an empty one."""
+        return not others or others + size <= self.limit
+
+    def _fits_budget(self, others: int, size: int, is_only: bool) -> bool:
+        """Return whether the budget has room besides what `others` hold; any value fits an empty one.
+
+        The only one may take the budget to its limit, so that there is progress whatever waits.
+        """
+        return not others or others + size <= (self.budget.limit if is_only else self.budget.high_mark)
 
     def _end_wait(self, answer: CollectedAnswer) -> None:
         self.waiting_next.pop(answer, None)
--- a/corkdeal/net/backend_connection.py
+++ b/corkdeal/net/backend_connection.py
@@ -17,7 +17,7 @@
 from ..decisions.settings import Settings
 from . import vectored_write
 from .backend_replies import Reply, check_header, read_health_check, read_reply
-from .budget import Budget
+from .budget import MAX_READ_SIZE, MIN_READ_SIZE, Budget
 from .invariants import count, holds
 from .request_stream import CommandWriter
 from .resp import Frame, MalformedError, Parser
@@ -75,7 +75,7 @@
         self.response_stream: ResponseStream | None = None  # the large reply being received
         self.command_writer: CommandWriter | None = None  # writer of a large command, until all is written
         self.idle_since = 0.0
-        self.held_bytes = 0  # of a reply that is not complete, for the memory budget
+        self.held_bytes = 0  # in its buffers, for the memory budget
         self.connector: Any = None
         self.write_started_at: float | None = None  # when writing of the current attempt started
         attempt.conn = self
@@ -100,12 +100,15 @@
         if now > attempt.write_by:
             return self.pool.abandon_unwritten(attempt)
         self.write_started_at = now
+        self.transport.bufferSize = self.pool.budget.reply_read_size()
         if attempt.rpc is not None:
             attempt.parts = attempt.rpc.parts(attempt.deadline - now)
         if attempt.rpc is None or attempt.rpc.body is None:
             vectored_write.write(self.transport, attempt.parts)
             return
-        self.command_writer = CommandWriter(self.transport, attempt.parts, self.command_written)
+        self.command_writer = CommandWriter(
+            self.transport, attempt.parts, self.update_memory, self.command_written
+        )
         self.command_writer.start()
 
     def command_written(self) -> None:
@@ -125,30 +128,52 @@
                 self.close()
             return
         if self.response_stream is not None:
-            return self.response_stream.receive(data)
-        had_partial_frame = self.parser.has_partial_frame
+            self.response_stream.receive(data)
+            return self.update_memory()
+        attempt, had_partial_frame = self.attempt, self.parser.has_partial_frame
         try:
             self.parser.feed(data)
-            frame = self.parser.next()
-            if frame and not frame.is_last:
-                return self.start_response_stream(self.attempt, frame)
-            reply = frame and (read_reply if self.attempt.rpc else read_health_check)(frame)
-            if not frame and self.attempt.rpc:
-                check_header(*self.parser.header())
-            elif reply and self.command_writer and reply.status is Status.OK:
-                raise MalformedError("reply before the command was fully written")
+            if (frame := self.parser.next()) is None:
+                return self.await_rest(attempt, had_partial_frame)
+            if not frame.is_last:
+                return self.start_response_stream(attempt, frame)
+            reply = self.parse_reply(attempt, frame)
         except MalformedError:
-            return self.fail_malformed(self.attempt)
-        if reply:
-            self.finish_reply(self.attempt, reply)
-        elif self.hold_incomplete() and not had_partial_frame:
-            self.schedule_stall_check(self.attempt)
+            return self.fail_malformed(attempt)
+        self.finish_reply(attempt, reply)
+
+    def parse_reply(self, attempt: Attempt, frame: Frame) -> Reply:
+        """Parse a complete reply; raise `MalformedError` if it can't be one to this attempt."""
+        if attempt.rpc is None:
+            return read_health_check(frame)
+        reply = read_reply(frame)
+        if self.command_writer and reply.status is Status.OK:
+            raise MalformedError("reply before the command was fully written")
+        return reply
+
+    def await_rest(self, attempt: Attempt, had_partial_frame: bool) -> None:
+        """Hold an incomplete reply, and read all that is known to be missing at once."""
+        if attempt.rpc is not None:
+            check_header(*self.parser.header())
+        if not self.hold_incomplete():
+            return
+        self.transport.bufferSize = min(MAX_READ_SIZE, self.parser.missing_bytes + MIN_READ_SIZE)
+        if not had_partial_frame:
+            self.schedule_stall_check(attempt)
 
     def buffered_bytes(self) -> int:
-        """Return the bytes received and not yet taken by a stream, and those written but not accepted."""
-        if not self.is_connected:
+        """Return the bytes received, unless memory is reserved for them, and those not accepted yet."""
+        if self.ended or not self.is_connected:
             return 0
-        return len(self.parser.buf) + vectored_write.unsent_bytes(self.transport)
+        waiting = self.response_stream.unreserved_bytes() if self.response_stream else 0
+        unsent = vectored_write.unsent_bytes(self.transport) if self.command_writer else 0
+        return len(self.parser.buf) + waiting + unsent
+
+    def update_memory(self) -> None:
+        """Report to the memory budget what is in the buffers."""
+        size = self.buffered_bytes()
+        if size != self.held_bytes:
+            self.pool.budget.set_held(self, size)
 
     def schedule_stall_check(self, attempt: Attempt) -> None:
         """Check the progress of a reply that has begun: it must not hold its request until the deadline."""
@@ -162,7 +187,7 @@
 
     def hold_incomplete(self) -> bool:
         """Count the bytes of an incomplete reply; without memory its attempt ends, and False is returned."""
-        self.pool.budget.set_held(self, len(self.parser.buf))
+        self.update_memory()
         if not self.pool.budget.is_exhausted:
             return True
         count("reply_without_memory")
@@ -188,9 +213,10 @@
         """Start to stream a reply that was received up to a large value."""
         if attempt.rpc is None or self.command_writer:
             raise MalformedError("unexpected large value")
-        self.pool.budget.set_held(self, 0)  # the stream counts what it holds
         self.response_stream = ResponseStream(self, attempt, frame)
         self.response_stream.start()
+        if not self.ended and self.response_stream is not None and self.response_stream.is_waiting:
+            self.hold_incomplete()
 
     def check_reply_stall(self, attempt: Attempt, deadline: float, previous_size: int) -> None:
         """Fail an attempt whose reply was begun and makes no progress."""
--- a/corkdeal/net/budget.py
+++ b/corkdeal/net/budget.py
@@ -7,7 +7,7 @@
 - Above the crowded mark connections may have few pending requests, and read less at once.
 - Above the high mark only the oldest incomplete body may grow, and no new long value is begun; of what else
   clients send little is read at once. At the low mark the waiting holders resume, in the order in which they
-  began to wait.
+  began to wait. While a long answer waits for room, both marks are lower for bodies, by its size.
 - Above the limit no body may grow, new requests are rejected, those with a long value by their heads, and
   answers are not kept for clients that do not take them.
 
@@ -37,8 +37,8 @@
 ACCOUNT_FRACTION = 0.2  # of the budget; for customers' accounts
 ID_MEMORY = 200  # bytes of the id of a request that has ended
 ID_FRACTION = 0.03  # of the budget; for such ids
-MIN_READ_SIZE = 8 << 10  # bytes read at once from one client
-MIN_READ_SIZE_WHEN_FULL = 1 << 10  # bytes; the head of a command, and little of the value behind it
+MIN_READ_SIZE = 8 << 10  # bytes read at once from one client, and of a reply that begins
+MIN_READ_SIZE_WHEN_FULL = 1 << 10  # bytes; the head of a message, and little of the value behind it
 MAX_READ_SIZE = 64 << 10
 READ_ROOM_FRACTION = 1 / 8  # of the free bytes; for one read of each incomplete body
 
@@ -94,7 +94,9 @@
         self.total = 0
         self.waiting_answers = 0  # bytes, a part of the total
         self.incomplete_bodies: dict[Waiter, None] = {}  # the oldest first
-        self.waiting: deque[Waiter] = deque()
+        self.waiting_bodies: deque[Waiter] = deque()
+        self.waiting: deque[Waiter] = deque()  # other holders
+        self.are_bodies_paused = False  # whether the total is above the mark for bodies
         self.answers = AnswerReservations(self)
 
     @property
@@ -102,6 +104,11 @@
         """Whether the total is above the high mark."""
         return self.total > self.high_mark
 
+    @property
+    def body_mark(self) -> int:
+        """The total in bytes above which only the oldest body may grow: bodies leave room for an answer."""
+        return self.high_mark - self.answers.wanted
+
     @property
     def is_crowded(self) -> bool:
         """Whether the total is above the crowded mark."""
@@ -129,6 +136,14 @@
         """Return how many bytes to read at once from a client that is not sending a body."""
         return MIN_READ_SIZE_WHEN_FULL if self.is_full else MIN_READ_SIZE
 
+    def reply_read_size(self) -> int:
+        """Return how many bytes to read of a reply that begins: it may have to wait for room."""
+        return MIN_READ_SIZE_WHEN_FULL if self.is_crowded else MIN_READ_SIZE
+
+    def value_read_size(self) -> int:
+        """Return how many bytes to read at once of a reply's long value."""
+        return MIN_READ_SIZE if self.is_crowded else MAX_READ_SIZE
+
     def body_read_size(self) -> int:
         """Return how many bytes of a body to read at once: less where many bodies share little room."""
         room = (self.limit - self.total) * READ_ROOM_FRACTION / max(1, len(self.incomplete_bodies))
@@ -137,40 +152,62 @@
     def add_body(self, body: Waiter) -> None:
         """Add a body that is beginning to arrive; without free space it has to wait."""
         self.incomplete_bodies[body] = None
-        if self.is_full:
+        if self.total > self.body_mark:
             self.make_wait(body)
 
     def remove_body(self, body: Waiter) -> None:
         """Remove a body that is complete or no longer wanted; the next oldest one may then grow."""
         if body in self.incomplete_bodies:
-            del self.incomplete_bodies[body]
             self.stop_waiting(body)
+            del self.incomplete_bodies[body]
             self.resume_oldest()
 
     def set_held(self, holder: Holder, size: int) -> None:
         """Set the number of bytes that a holder has."""
-        was_full, added = self.is_full, size - holder.held_bytes
+        added = size - holder.held_bytes
         self.total += added
         holder.held_bytes = size
-        if not (was_full or self.waiting or self.answers.has_waiting or self.total > self.high_mark):
+        if not (self.are_bodies_paused or self.has_waiting or self.total > self.high_mark):
             return  # nobody is to wait, or to be resumed
-        if self.is_full and not was_full:
-            for body in list(self.incomplete_bodies):
-                self.make_wait(body)
-        elif self.is_full and holder in self.incomplete_bodies:
+        if not self.update_body_pause() and holder in self.incomplete_bodies and self.are_bodies_paused:
             self.make_wait(holder)
-        while self.waiting and self.total <= self.low_mark:
-            self.waiting.popleft().resume_with_space()
+        self.resume_waiting()
         if added < 0:
             self.resume_oldest()
             self.answers.wake()
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether a body, an answer or another holder waits for free space."""
+        return bool(self.waiting or self.waiting_bodies or self.answers.has_waiting)
+
+    def update_body_pause(self) -> bool:
+        """Make bodies wait if the total is above their mark now; return whether that is new."""
+        were_paused, self.are_bodies_paused = self.are_bodies_paused, self.total > self.body_mark
+        if were_paused or not self.are_bodies_paused:
+            return False
+        for body in list(self.incomplete_bodies):
+            self.make_wait(body)
+        return True
+
+    def resume_waiting(self) -> None:
+        """Resume waiting holders while the total is at or below the low mark."""
+        while self.waiting and self.total <= self.low_mark:
+            self.waiting.popleft().resume_with_space()
+        while self.waiting_bodies and self.total <= self.body_mark * LOW_MARK_FRACTION:
+            self.waiting_bodies.popleft().resume_with_space()
+
     def make_wait(self, holder: Waiter) -> None:
         """Make a holder wait for free space, unless it is the oldest body and within the limit."""
-        if holder not in self.waiting and not self._is_oldest_within_limit(holder):
-            self.waiting.append(holder)
+        queue = self.queue_of(holder)
+        if holder not in queue and not self._is_oldest_within_limit(holder):
+            queue.append(holder)
             holder.pause_for_space()
 
+    def queue_of(self, holder: Waiter) -> deque[Waiter]:
+        """Return the queue in which a holder would wait."""
+        return self.waiting_bodies if holder in self.incomplete_bodies else self.waiting
+
     def _is_oldest_within_limit(self, holder: Waiter) -> bool:
         """Return whether a holder is the oldest body and may take one more piece.
 
@@ -181,16 +218,14 @@
 
     def resume_oldest(self) -> None:
         """Resume the oldest body, if it is waiting and within the limit."""
-        if self.waiting and self.incomplete_bodies and self.total <= self.limit:
-            self.resume(next(iter(self.incomplete_bodies)))
-
-    def resume(self, holder: Waiter) -> None:
-        """Resume a holder, if it is waiting."""
-        if holder in self.waiting:
-            self.waiting.remove(holder)
-            holder.resume_with_space()
+        if self.waiting_bodies and self.total <= self.limit:
+            oldest = next(iter(self.incomplete_bodies))
+            if oldest in self.waiting_bodies:
+                self.waiting_bodies.remove(oldest)
+                oldest.resume_with_space()
 
     def stop_waiting(self, holder: Waiter) -> None:
         """Stop a holder's wait without resuming it."""
-        if holder in self.waiting:
-            self.waiting.remove(holder)
+        queue = self.queue_of(holder)
+        if holder in queue:
+            queue.remove(holder)
--- a/corkdeal/net/request_stream.py
+++ b/corkdeal/net/request_stream.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.interfaces import IDelayedCall
@@ -118,8 +118,15 @@
 class CommandWriter:
     """Writes a large command as fast as its backend reads it: a pull producer of a transport."""
 
-    def __init__(self, transport: Any, parts: list[Any], on_written: Any) -> None:
-        self.transport, self.on_written = transport, on_written
+    def __init__(
+        self,
+        transport: Any,
+        parts: list[Any],
+        on_progress: Callable[[], None],
+        on_written: Callable[[], None],
+    ) -> None:
+        """`on_progress` is called after each batch, `on_written` once all is written."""
+        self.transport, self.on_progress, self.on_written = transport, on_progress, on_written
         self.parts: Iterator[Any] = iter(parts)
         self.is_finished = False
 
@@ -142,6 +149,7 @@
                 self.on_written()
             elif not vectored_write.write(self.transport, batch):
                 self.is_finished = True  # broken; the backend connection sees that not all was written
+        self.on_progress()
 
     def stopProducing(self) -> None:
         """The connection is closed, which the backend connection handles."""
--- a/corkdeal/net/resp.py
+++ b/corkdeal/net/resp.py
@@ -127,6 +127,11 @@
                 i.end - offset,
             )
 
+    @property
+    def missing_bytes(self) -> int:
+        """The bytes that have to be received before the next item is complete, as far as that is known."""
+        return max(0, self.needed - len(self.buf))
+
     def release_buffer(self) -> None:
         """Let go of a buffer of which everything was returned."""
         if self.position == len(self.buf):
--- a/corkdeal/net/response_stream.py
+++ b/corkdeal/net/response_stream.py
@@ -15,7 +15,6 @@
 
 from ..decisions.events import Status
 from .backend_replies import Reply, check_header, check_value, load_report_at
-from .budget import MAX_READ_SIZE, MIN_READ_SIZE
 from .invariants import count
 from .piece_buffer import Piece, PieceBuffer
 from .resp import Frame, MalformedError, skip_items
@@ -91,6 +90,15 @@
         elif not self.is_collecting:
             self.collect()
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the reply is neither forwarded nor collected yet."""
+        return not (self.is_released or self.is_collecting)
+
+    def unreserved_bytes(self) -> int:
+        """Return the bytes of a waiting reply that were received before any memory was reserved for it."""
+        return self.buffer.size if self.is_waiting and not self.held_bytes else 0
+
     def handle_turn(self) -> None:
         """All earlier replies have been written: this one is next."""
         if self.turn_at is None:
@@ -139,7 +147,7 @@
     def receive(self, data: bytes) -> None:
         """Take further bytes of the reply from the backend."""
         self.progressed_at = self.conn.pool.now()
-        self.conn.transport.bufferSize = MIN_READ_SIZE if self.budget.is_crowded else MAX_READ_SIZE
+        self.conn.transport.bufferSize = self.budget.value_read_size()
         self.conn.parser.feed(data)
         self.advance()
 
@@ -160,6 +168,8 @@
             self.conn.fail_malformed(self.attempt)
         elif reply and not self.attempt.is_finished:
             self.conn.finish_reply(self.attempt, reply)
+        else:
+            self.conn.update_memory()
 
     def read(self) -> Reply | None:
         """Move the received parts of the value to the buffer; return the reply once it is complete.
--- a/tests/faults/world.py
+++ b/tests/faults/world.py
@@ -126,6 +126,7 @@
     """A gateway process with `memory_mb` and 1,024 descriptors, and three backends."""
 
     more_config: ClassVar = {}  # further keys of the configuration
+    backend_count = 3
 
     def __init__(self, memory_mb, reply=reply_small, settings=None, descriptors=DESCRIPTORS):
         self.memory_mb, self.reply, self.settings = memory_mb, reply, settings or SETTINGS
@@ -137,7 +138,7 @@
     async def __aenter__(self):
         self.folder = tempfile.TemporaryDirectory()
         self.backends = []
-        for number in range(3):
+        for number in range(self.backend_count):
             backend = TestBackend(BackendModel(f"s-{number}", "north-hall"), lambda: 0.0, lambda _: None)
             backend.reply = self.reply
             await backend.start()
