Tell the other processes of an upgrade all open ids, and take back those that are free

Cause: RequestIds.claim compared ids of repeatable classes with this process's own alone. The log by which processes tell each other can take no id back and ends after 32,768, so it can't carry them. Change: a table of open and kept ids for each process, read by the others, from which ids are removed; looked at after the own entry is written. Why it works: an id is in the table of its process for as long as it is open or kept, whatever else comes; the table's size follows from the memory limit, which bounds them, and a random key spreads them.

--- a/corkdeal/net/budget.py
+++ b/corkdeal/net/budget.py
@@ -58,6 +58,11 @@
     return int(budget_for(limit) * ID_FRACTION / ID_MEMORY)
 
 
+def max_open_ids(limit: int) -> int:
+    """The number of ids that may be open or kept, given the memory limit of the process."""
+    return budget_for(limit) // REQUEST_MEMORY + max_kept_ids(limit)
+
+
 class Pressure(enum.StrEnum):
     """How much of the budget is used; the values are field values of the log."""
 
--- a/corkdeal/net/upgrade.py
+++ b/corkdeal/net/upgrade.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import tempfile
 from collections.abc import Callable, Iterator
@@ -21,7 +22,9 @@
 from ..persistence.quota_handover import SUCCESSOR_FRACTION, PartialState
 from ..persistence.restore import RestoredState
 from ..persistence.store import gateway_folder
+from .budget import max_open_ids
 from .invariants import count, counts
+from .open_ids import OpenIds
 from .request_ids import RETENTION_TIME
 from .shared_ids import SharedIds
 from .shutdown import KILL_DELAY, MAX_CLASS_DEADLINE
@@ -84,6 +87,7 @@
             self.reactor.callLater(POLL_INTERVAL, self._poll_partial_state, start)
             return
         if snapshot is None:
+            self._share_ids(self.predecessor)  # it may only be late with its snapshot
             count("handover_none")
             logs.event("handover_none", life=self.files.incarnation, before=self.predecessor)
         else:
@@ -181,20 +185,33 @@
 
     def _check(self) -> None:
         """Check the predecessor and the successor, at intervals until `is_finished`."""
-        if self.is_finished:
+        if self.is_finished and self.gateway.request_ids.open_ids is None:
             return
         self.reactor.callLater(CHECK_INTERVAL, self._check)
+        self._follow_open_ids()
+        if self.is_finished:
+            return
         try:
             self._check_processes()
         except OSError as error:
             self._disable(error)
 
+    def _follow_open_ids(self) -> None:
+        """Look at the ids of processes that have started; without the folder none can."""
+        open_ids = self.gateway.request_ids.open_ids
+        if open_ids is not None:
+            with contextlib.suppress(OSError):
+                open_ids.follow(self.files.running())
+
     def _check_processes(self) -> None:
         """Take over from the predecessor; hand over to the successor, or take back from one that ended."""
         if self.remainder_takeover is not None:
             return  # the state is incomplete until the takeover ends, so it can't be handed over yet
         if self.predecessor is not None and self.partial_state is not None and self.gateway.has_started:
             self._follow_predecessor(self.predecessor, self.partial_state)
+        elif self.predecessor is not None and not self.files.is_running(self.predecessor):
+            self.predecessor = None  # it has ended without handing anything over
+            self.reactor.callLater(RETENTION_TIME, self._end_sharing, self.gateway.request_ids.shared)
         if self.successor is not None and not self.files.is_running(self.successor):
             logs.event("handover_taken_back", life=self.files.incarnation, after=self.successor)
             quota_handover.add_fraction(self.decisions, self.gateway.now(), self.successor_fraction)
@@ -240,10 +257,13 @@
         )
 
     def _share_ids(self, other: int) -> None:
-        """Exchange the ids of requests with the other process, so that none runs at both."""
+        """Exchange the ids of requests with the other processes, so that none runs at two of them."""
+        ids, own = self.gateway.request_ids, self.files.incarnation
         try:
-            shared = SharedIds(self.folder, self.files.incarnation, other)
-            self.gateway.request_ids.share(shared)
+            if ids.open_ids is None:
+                ids.share_open(OpenIds(self.folder, own, max_open_ids(self.gateway.config.memory)))
+            ids.open_ids.follow([other, *self.files.running()])
+            ids.share(SharedIds(self.folder, own, other))
         except OSError as error:
             count("shared_ids_failed")
             logs.event("handover_not_written", what="ids", after=other, error=truncated_text(error))
--- a/corkdeal/persistence/handover_files.py
+++ b/corkdeal/persistence/handover_files.py
@@ -4,6 +4,7 @@
     0000000000000006-7.first       handed over by incarnation 6 to incarnation 7 when 7 started
     0000000000000006-7.rest        handed over by incarnation 6 to incarnation 7 when 6 ended
     0000000000000006-7.ids         ids of requests that 6 opens while 7 runs, see `net/shared_ids.py`
+    0000000000000006-0.open        the ids that 6 has open or keeps, see `net/open_ids.py`
 
 An incarnation's file gets its name only after it is locked, so an unlocked one has ended for good. Earlier
 versions create the file under its name and lock it in a second step; the modification time tells them apart.
@@ -31,7 +32,7 @@
 from .files import CLOSED, StateFolder
 
 match_incarnation_name = re.compile(r"([0-9]{16})\.life").fullmatch
-match_snapshot_name = re.compile(r"([0-9]{16})-([0-9]{1,16})\.(?:first|rest|ids|tmp)").fullmatch
+match_snapshot_name = re.compile(r"([0-9]{16})-([0-9]{1,16})\.(?:first|rest|ids|open|tmp)").fullmatch
 
 
 # Modification time, seconds since the epoch, of a file that was locked before it got its name.
@@ -111,6 +112,12 @@
         matches = map(match_incarnation_name, self.files.list_names())
         return sorted(int(match[1]) for match in matches if match)
 
+    def running(self) -> list[int]:
+        """Return the numbers of all other running incarnations, in ascending order."""
+        return [
+            number for number in self.incarnations() if number != self.incarnation and self.is_running(number)
+        ]
+
     def predecessor(self) -> int | None:
         """Return the newest running incarnation before this one."""
         for number in reversed(self.incarnations()):
--- a/tests/faults/test_ids_in_upgrades.py
+++ b/tests/faults/test_ids_in_upgrades.py
@@ -105,6 +105,36 @@
     run(check())
 
 
+# Ids of classes that may run again were not told to the other process: both sent the request on.
+@pytest.mark.parametrize("comes_first_at_successor", [False, True])
+@pytest.mark.parametrize("name", [b"board-load", b"solve-record"])
+def test_an_open_id_is_refused_at_the_other_process_and_free_after_its_answer(comes_first_at_successor, name):
+    async def check():
+        async with Upgrade(96, take_long) as world:
+            rid = next(world.ids)
+            if name == b"board-load":
+                command = world.request(customer=8, rid=rid, timeout=2.0)
+            else:
+                command = world.write(b"body", customer=8, rid=rid, timeout=2.0)
+            at_predecessor = await world.client()
+            at_predecessor.writer.write(b"*1\r\n$4\r\nPING\r\n")
+            assert await at_predecessor.answer() == b"+PONG\r\n"
+            world.start_process()
+            await world.until_logged("serving ")
+            clients = [at_predecessor, await at_successor(world)]
+            first, second = reversed(clients) if comes_first_at_successor else clients
+            first.writer.write(command)
+            assert await until_seen(world, rid) == 1
+            second.writer.write(command)
+            assert (await second.answer()).startswith(b"-ERR")
+            assert (await first.answer()).startswith(b"$")
+            if name == b"board-load":
+                second.writer.write(command)
+                assert (await second.answer()).startswith(b"$")
+
+    run(check())
+
+
 async def at_successor(world):
     """Open connections until one is accepted by the newest process."""
     while True:
--- a/tests/persistence/test_upgrade.py
+++ b/tests/persistence/test_upgrade.py
@@ -30,7 +30,7 @@
             decisions=decisions,
             settings=decisions.settings,
             now=lambda: 5000.0 + clock.seconds(),
-            config=SimpleNamespace(name="n0"),
+            config=SimpleNamespace(name="n0", memory=64 << 20),
             has_started=False,
             request_ids=RequestIds(clock.seconds, 10),
             listen_for_peers=lambda: calls.append("listen_for_peers"),
