Begin no long answer before it is whole, wherever there is room to collect it

Cause: may_stream looked at whole requests alone. A client detects an incomplete value only by the end of its connection, which ends whatever comes behind; the protocol excuses the value, not the request. Change: a long answer is collected whole in reserved memory, also with nothing behind it. Without room it is forwarded as it arrives only if no request, no part of one and nothing unread is behind it. One that is collected at its deadline is forwarded from then on, as before. Why it works: until the first byte is written an answer that breaks off is an attempt that failed.

--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -441,13 +441,14 @@
     def may_stream(self, rpc: RPC) -> bool:
         """Return whether a reply that is not whole may be written.
 
-        It has to be next, with none behind it, and the client has to take it: otherwise it is not final yet.
+        It has to be next, with no request or part of one behind it, and the client has to take it.
         """
         return (
             self.is_next(rpc)
             and len(self.pending_replies) == 1
             and self.body is None
-            and not (self.is_parsing or self.has_unparsed_input or vectored_write.pending(self.transport))
+            and not (self.is_parsing or self.parser.has_partial_frame)
+            and not (vectored_write.pending(self.transport) or self.has_unread_bytes())
         )
 
     def is_next(self, rpc: RPC) -> bool:
--- a/corkdeal/net/response_stream.py
+++ b/corkdeal/net/response_stream.py
@@ -1,11 +1,11 @@
 """Receives a large reply from its backend connection, and provides it to its client connection.
 
-A large reply is *released* to its client connection as soon as nothing can be lost by that. If it is next in
-order with no further request behind it, that is at once: it is forwarded as it is received, and nothing is
-read from the client meanwhile. If it then breaks off, the client connection is closed, so that the client
-detects it. Any other large reply is collected whole first, in memory that is reserved for it, since requests
-behind it could not be answered on a connection that ends within it. If it breaks off, its attempt fails like
-any other. Without room, or while earlier replies are pending, it waits with its backend paused.
+A large reply is collected whole, in memory that is reserved for it, and only then *released* to its client
+connection: a connection that ends within a reply ends with all requests that came behind it, at any time. If
+it breaks off before, its attempt fails like any other. Without room it waits with its backend paused, unless
+it is next in order with no request behind it: then it is released at once and forwarded as it is received,
+and nothing is read from the client meanwhile. If that breaks off, the client connection is closed, so that
+the client detects it. So it is at its deadline, too, for a reply that is next and not whole.
 """
 
 from __future__ import annotations
@@ -77,18 +77,20 @@
         return bool(self.rpc.client_connection.is_next(self.rpc))
 
     def proceed(self) -> None:
-        """Forward the reply, collect it or wait, by what order and memory allow."""
-        if self.is_released or self.conn.ended:
+        """Collect the reply, forward it or wait, by what memory and order allow."""
+        if self.is_released or self.is_collecting or self.conn.ended or self.collect():
             return
-        if self.rpc.client_connection.may_stream(self.rpc):
-            if not self.budget.is_full:
-                self.release()
-            elif not self.is_collecting:
-                count("answer_waits_for_room")
-                self.budget.make_wait(self)
-                self.wait()
-        elif not self.is_collecting:
-            self.collect()
+        if self.may_stream():
+            self.release()
+            return
+        if self.is_next() and self.budget.is_full:
+            count("answer_waits_for_room")
+            self.budget.make_wait(self)
+        self.wait()
+
+    def may_stream(self) -> bool:
+        """Return whether the reply may be forwarded before it is whole."""
+        return self.rpc.client_connection.may_stream(self.rpc) and not self.budget.is_full
 
     @property
     def is_waiting(self) -> bool:
@@ -107,14 +109,15 @@
                 self.schedule_end()
         self.proceed()
 
-    def collect(self) -> None:
-        """Collect the whole reply if there is room for it, else wait."""
+    def collect(self) -> bool:
+        """Collect the whole reply if there is room for it; return whether there is."""
         if not self.budget.answers.reserve(self, self.size):
-            return self.wait()
+            return False
         self.is_collecting = True
         self.budget.stop_waiting(self)
         self.resume()
         self.advance()
+        return True
 
     def wait(self) -> None:
         """Wait with the backend paused."""
@@ -267,8 +270,12 @@
             self.give_up()
 
     def give_up(self) -> None:
-        """End the attempt because its reply could not be released in time."""
-        if not self.attempt.is_finished and not self.is_released:
+        """End the attempt because its reply could not be released in time, unless it may be forwarded."""
+        if self.attempt.is_finished or self.is_released:
+            return
+        if self.may_stream():
+            self.release()
+        else:
             count("answer_not_whole_in_time")
             # A backend that was paused is not to blame.
             self.conn.pool.abandon(self.attempt, Status.CANCELLED if self.has_waited else Status.TIMEOUT)
--- a/tests/test_lingering.py
+++ b/tests/test_lingering.py
@@ -66,6 +66,7 @@
 @pytest.mark.parametrize("takes", [False, True])
 def test_a_connection_that_ends_is_closed_once_its_client_takes_nothing_more(takes):
     harness = GatewayWithClient()
+    harness.use_up_answer_room()
     conn, _ = harness.ask(1)
     conn.dataReceived(HEAD + VALUE[:90000])
     harness.client.dataBuffer = bytes(30000)  # not accepted by the socket
