Log and count the anonymous memory of the process beside what the budget holds

The log told what the memory budget holds and the resident memory, which counts the files of the program too. So it did not tell whether a process passes a limit because its budget is too large or because the allocator keeps what was freed.

The log event memory has the field anonymous, and the operators' address the gauge memory_anonymous: resident less shared pages of /proc/self/statm.

--- a/corkdeal/net/gateway.py
+++ b/corkdeal/net/gateway.py
@@ -114,7 +114,7 @@
             self.now,
             lambda: self.name_memory.held_bytes,
             lambda: self.pool.buffered_bytes(),
-            process_memory.resident_bytes,
+            process_memory.measure,
         )
         self.descriptors = Descriptors(config.sockets, self.client_connections, self.now)
         self.pool = BackendPool(
--- a/corkdeal/net/memory_log.py
+++ b/corkdeal/net/memory_log.py
@@ -6,6 +6,7 @@
 
 from .. import logs
 from .budget import Budget, Pressure
+from .process_memory import ProcessMemory
 
 MIN_INTERVAL = 1.0  # s between two log lines
 PEAK_STEP = 1 / 16  # of the first resident size; growth of the peak that is logged
@@ -15,7 +16,7 @@
     """Writes the log event `memory`.
 
     `now` returns the time in s, `name_bytes` how many bytes are held for names that clients choose, and
-    `resident_bytes` the memory of the process.
+    `measure` the memory of the process.
     """
 
     def __init__(
@@ -24,18 +25,19 @@
         now: Callable[[], float],
         name_bytes: Callable[[], int],
         backend_buffer_bytes: Callable[[], int],
-        resident_bytes: Callable[[], int],
+        measure: Callable[[], ProcessMemory],
     ) -> None:
         self.budget, self.now, self.name_bytes = budget, now, name_bytes
         self.backend_buffer_bytes = backend_buffer_bytes
-        self.resident_bytes = resident_bytes
+        self.measure = measure
         self.logged_peak = 0  # resident bytes
         self.logged = Pressure.NONE
         self.next_at = 0.0  # s
 
     def update(self) -> None:
         """Log the pressure if it has changed, and a peak of the process that is higher by a step."""
-        pressure, resident = self.budget.pressure, self.resident_bytes()
+        pressure, memory = self.budget.pressure, self.measure()
+        resident = memory.resident
         if not self.logged_peak:
             self.logged_peak = resident
         is_new_peak = resident > self.logged_peak * (1 + PEAK_STEP)
@@ -56,5 +58,6 @@
             bodies=len(self.budget.incomplete_bodies),
             names=self.name_bytes(),
             resident=resident,
+            anonymous=memory.anonymous,
         )
         self.logged = pressure
--- a/corkdeal/net/operators.py
+++ b/corkdeal/net/operators.py
@@ -42,6 +42,7 @@
     def metrics(self) -> dict[str, int]:
         """Metrics: counters since the start, and gauges of open requests, backends and loop lateness."""
         listed, down = self.endpoint_list.count_listed()
+        memory = process_memory.measure()
         counters = {k: self.counters[k] for k in ("success", "busy", "failure", "backend_calls")}
         return {
             **counters,
@@ -53,7 +54,8 @@
             "loop_late_ms": round(1000 * self.gateway.lateness.max_lateness),
             "memory_held": self.gateway.budget.total,
             "memory_budget": self.gateway.budget.limit,
-            "memory_resident": process_memory.resident_bytes(),
+            "memory_resident": memory.resident,
+            "memory_anonymous": memory.anonymous,
         }
 
     def enter_standby(self) -> bool:
--- a/corkdeal/net/process_memory.py
+++ b/corkdeal/net/process_memory.py
@@ -3,16 +3,26 @@
 from __future__ import annotations
 
 import os
+from typing import NamedTuple
 
 STATM = "/proc/self/statm"
-RESIDENT_FIELD = 1  # of /proc/self/statm, in pages
+RESIDENT_FIELD, SHARED_FIELD = 1, 2  # of /proc/self/statm, in pages
 PAGE_SIZE = os.sysconf("SC_PAGE_SIZE")  # bytes
 
 
-def resident_bytes() -> int:
-    """Return the resident memory in bytes; 0 where the kernel does not tell it."""
+class ProcessMemory(NamedTuple):
+    """Memory of a process in bytes."""
+
+    resident: int
+    anonymous: int  # the part of `resident` that belongs to no file: heap, stacks, written pages of libraries
+
+
+def measure() -> ProcessMemory:
+    """Return the memory of this process; zeros where the kernel does not tell it."""
     try:
         with open(STATM, "rb") as file:
-            return int(file.read().split()[RESIDENT_FIELD]) * PAGE_SIZE
+            fields = file.read().split()
     except OSError:
-        return 0
+        return ProcessMemory(0, 0)
+    resident, shared = int(fields[RESIDENT_FIELD]), int(fields[SHARED_FIELD])
+    return ProcessMemory(resident * PAGE_SIZE, (resident - shared) * PAGE_SIZE)
