Divide the memory limit between the processes of an upgrade

Cause: each process took the memory budget of the whole limit; PROCESS_MEMORY is kept free once, for one process. And the C library's allocator keeps freed memory: the log of such a run has 26.7 MB held after 29.8, and 63.8 MB of anonymous memory after 63.7. So lowering a budget alone would have given the other process nothing.

An older one lowers its budget, ends the newest incomplete commands beyond it with -BUSY, returns freed memory to the system, and only then states less; what it can't free yet stays in its claim. net/process_limits.py decides without I/O: the least while the other loads, then equal parts; a draining process keeps what its requests need, the other has the rest, and whoever stays gets all back. The smallest budgets are 1 MiB, so they may be too small for a longest value; commands that are too long then are rejected by their heads. Below 74 MB two idle processes and these budgets may pass the limit: `check` and the log say so.

The first part of the quota is handed over when the successor's program is loaded, as before.

--- a/corkdeal/logs/events.py
+++ b/corkdeal/logs/events.py
@@ -32,6 +32,16 @@
     "handover_unreadable": (WARN, "a handover snapshot can't be read: what, before, error"),
     "handover_not_written": (WARN, "a handover snapshot can't be written: what, after, error"),
     "handover_off": (WARN, "the shared folder can't be used, no quotas are handed over: error"),
+    "limits": (
+        INFO,
+        "this process's part of the gateway's limits changed: life, others (incarnations that run "
+        "beside it), memory_budget, connections (of clients and backends together), anonymous; bytes",
+    ),
+    "limits_too_small_for_upgrade": (
+        WARN,
+        "two processes of an upgrade may pass the gateway's limits: memory, memory_needed (bytes), sockets, "
+        "sockets_needed",
+    ),
     "counts": (INFO, "all counters that are not 0, after one of them changed"),
     "figures": (INFO, "metrics: counters since the start, and gauges (now_...)"),
     "recovery": (INFO, "readiness after a start or stall changed: state, before, why, among, after (s)"),
--- a/corkdeal/net/__main__.py
+++ b/corkdeal/net/__main__.py
@@ -6,11 +6,22 @@
 import os
 import signal
 import sys
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from .application import Application
 
 GC_THRESHOLD = 5000  # allocations in excess of deallocations; requests create few reference cycles
 OPTIONS_VARIABLE = "CORKDEAL_OPTIONS"  # names the options file; without one, all optional subsystems are off
 
 
+def install_signal_handlers(reactor: Any, application: Application) -> None:
+    """Shut down at SIGTERM and SIGINT, and reload at SIGHUP, in the reactor's thread."""
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(signal_number, lambda *_: reactor.callFromThread(application.gateway.shutdown.begin))
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(application.reload))
+
+
 def main() -> int:
     """Serve until shutdown. If the configuration is invalid, print one line per error and return 2."""
     gc.disable()  # startup creates almost no garbage, and collections took up to a fifth of its CPU time
@@ -30,15 +41,18 @@
         for line in getattr(error, "faults", None) or [error]:
             print(f"corkdeal: {path + ': ' if line is not error else ''}{line}", file=sys.stderr)
         return 2
+    handover_files = None
+    if gateway_config.inherited is not None:  # a predecessor has to make room before the program is loaded
+        from . import upgrade_start
+
+        handover_files = upgrade_start.join(gateway_config)
     from twisted.internet import reactor
 
     from .application import Application, configure_logging
 
     configure_logging(options, gateway_config.name)
-    application = Application(reactor, gateway_config, options, path)
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(signal_number, lambda *_: reactor.callFromThread(application.gateway.shutdown.begin))
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(application.reload))
+    application = Application(reactor, gateway_config, options, path, handover_files)
+    install_signal_handlers(reactor, application)
     if early_signals:  # the old file may have been read before them; the handler above has all later ones
         reactor.callFromThread(application.reload)
     reactor.callWhenRunning(application.start)
--- a/corkdeal/net/answer_reservations.py
+++ b/corkdeal/net/answer_reservations.py
@@ -36,8 +36,7 @@
 
     def __init__(self, budget: Budget) -> None:
         self.budget = budget
-        self.limit = max(MAX_VALUE, int(budget.high_mark * ANSWER_SHARE))
-        self.ahead_limit = int(self.limit * AHEAD_SHARE)
+        self.update_limits()
         self.total = 0  # bytes reserved
         # The answers that wait for room, in order: those that are next on their connections, and the others.
         # The values are the sizes in bytes that they have asked for.
@@ -45,6 +44,11 @@
         self.waiting_ahead: dict[CollectedAnswer, int] = {}
         self.is_waking = False
 
+    def update_limits(self) -> None:
+        """Set the limits in bytes that follow from the budget's."""
+        self.limit = max(MAX_VALUE, int(self.budget.high_mark * ANSWER_SHARE))
+        self.ahead_limit = int(self.limit * AHEAD_SHARE)
+
     def reserve(self, answer: CollectedAnswer, size: int) -> bool:
         """Reserve `size` bytes in all for an answer; without room it waits, and False is returned."""
         if self._has_room(answer, size):
@@ -63,10 +67,12 @@
     def wanted(self) -> int:
         """The bytes that bodies have to leave for the first answer that is next on its connection.
 
-        That is 0 if the answer waits for others that are collected, and not for bodies.
+        That is 0 if the answer waits for others that are collected, and not for bodies, and if it is larger
+        than the budget.
         """
         size = next(iter(self.waiting_next.values()), 0)
-        return size if self._is_within_limit(self.total, size) else 0
+        has_room = size <= self.budget.limit and self._is_within_limit(self.total, size)
+        return size if has_room else 0
 
     def _has_room(self, answer: CollectedAnswer, size: int) -> bool:
         """Return whether an answer may hold `size` bytes; one that is next may if no other one holds any."""
--- a/corkdeal/net/application.py
+++ b/corkdeal/net/application.py
@@ -12,13 +12,23 @@
 
 if TYPE_CHECKING:
     from ..options import Options
+    from ..persistence.handover_files import HandoverFiles
     from ..persistence.snapshot_writer import SnapshotWriter
 
 
 class Application:
     """Owns the gateway and its optional subsystems: starts them, and reloads configuration and options."""
 
-    def __init__(self, reactor: Any, config: Config, options: Options | None, options_path: str) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        config: Config,
+        options: Options | None,
+        options_path: str,
+        handover_files: HandoverFiles | None = None,
+    ) -> None:
+        """`handover_files` are those of a process that shares its listening socket with a predecessor."""
+        self.handover_files = handover_files
         self.reactor, self.config, self.options_path = reactor, config, options_path
         self.options = options
         self.gateway = Gateway(reactor, config)
@@ -53,13 +63,18 @@
 
     def start_as_successor(self) -> None:
         """Start as the successor of a running process, if there is one, with the quota it hands over."""
+        from .limit_sharing import share_without_folder
         from .upgrade import UpgradeHandover
 
         try:
-            self.gateway.upgrade_handover = UpgradeHandover(self.reactor, self.gateway)
-            self.gateway.upgrade_handover.take_over(self.gateway.start)
+            handover = UpgradeHandover(self.reactor, self.gateway, self.handover_files)
+            self.gateway.upgrade_handover = handover
+            handover.join()
+            handover.share_limits()
+            handover.take_over(self.gateway.start)
         except OSError as error:
             self.gateway.upgrade_handover = None
+            share_without_folder(self.reactor, self.gateway)
             count("handover_off")
             logs.event("handover_off", error=str(error)[:200])
             self.gateway.start()
--- a/corkdeal/net/budget.py
+++ b/corkdeal/net/budget.py
@@ -12,7 +12,8 @@
   answers are not kept for clients that do not take them.
 
 Among incomplete bodies the oldest can be received completely, since the high mark is one longest value below
-the limit, and complete ones are freed by their deadlines.
+the limit, and complete ones are freed by their deadlines. A budget that is too small for the longest value
+(see `process_limits`) takes bodies up to a shorter length.
 """
 
 from __future__ import annotations
@@ -28,7 +29,11 @@
 CROWDED_FRACTION = 0.5  # of the limit
 WAITING_ANSWERS_FRACTION = 0.35  # of the limit; for answers that wait for their turn or for their clients
 MIN_BUDGET = 2 * MAX_VALUE  # bytes; with less, one long value would block all others
-PROCESS_MEMORY = 40 << 20  # bytes that the process uses before its first client
+LONGEST_BODY_FRACTION = 0.75  # of a budget; a body that is longer is rejected by its head
+MIN_SHARED_BUDGET = 1 << 20  # bytes; the least while processes share a limit, besides names and connections
+IDLE_MEMORY = 30 << 20  # bytes that one process uses before its first client
+MEMORY_RESERVE = 10 << 20  # bytes of the limit that are in no budget, however many processes there are
+PROCESS_MEMORY = IDLE_MEMORY + MEMORY_RESERVE
 HELD_FRACTION = 0.55  # of the rest of the limit; the allocator and objects of short life need some, too
 CONNECTION_MEMORY = 5 << 10  # bytes of a client connection that is idle
 ITEM_MEMORY = 200  # bytes of one item of an incomplete command, without its content
@@ -88,22 +93,61 @@
         """Resume: there is free space again."""
 
 
+class Body(Waiter, Protocol):
+    """The long value of a command that is being received."""
+
+    remaining_bytes: int  # still to be received
+
+    def evict(self) -> None:
+        """End it and free what it holds, because the budget has become smaller."""
+
+
 class Budget:
     """Keeps track of what is held, of incomplete bodies and of waiting holders."""
 
     def __init__(self, limit: int) -> None:
-        self.limit, self.high_mark = limit, limit - MAX_VALUE
-        self.low_mark = int(self.high_mark * LOW_MARK_FRACTION)
-        self.crowded_mark = int(limit * CROWDED_FRACTION)
-        self.max_waiting_answers = int(limit * WAITING_ANSWERS_FRACTION)
+        self._set_marks(limit, 0)
         self.total = 0
         self.waiting_answers = 0  # bytes, a part of the total
-        self.incomplete_bodies: dict[Waiter, None] = {}  # the oldest first
+        self.incomplete_bodies: dict[Body, None] = {}  # the oldest first
         self.waiting_bodies: deque[Waiter] = deque()
         self.waiting: deque[Waiter] = deque()  # other holders
         self.are_bodies_paused = False  # whether the total is above the mark for bodies
         self.answers = AnswerReservations(self)
 
+    def _set_marks(self, limit: int, fixed: int) -> None:
+        """Set the limit in bytes, and the marks that follow from it.
+
+        `fixed` is the part of the limit for what requests neither use nor free: names and connections.
+        """
+        self.limit = limit
+        self.longest_body = min(MAX_VALUE, int((limit - fixed) * LONGEST_BODY_FRACTION))
+        self.high_mark = limit - self.longest_body
+        self.low_mark = int(self.high_mark * LOW_MARK_FRACTION)
+        self.crowded_mark = int(limit * CROWDED_FRACTION)
+        self.max_waiting_answers = int(limit * WAITING_ANSWERS_FRACTION)
+
+    def change_limit(self, limit: int, fixed: int) -> None:
+        """Change the limit; `_set_marks` has the arguments.
+
+        The newest bodies end until there is room for short requests beside the others.
+        """
+        self._set_marks(limit, fixed)
+        self.answers.update_limits()
+        for body in reversed(list(self.incomplete_bodies)):
+            if self.total <= limit - MIN_SHARED_BUDGET:
+                break
+            body.evict()
+        self.update_body_pause()
+        self.resume_waiting()
+        self.resume_oldest()
+        self.answers.wake()
+
+    @property
+    def committed(self) -> int:
+        """The bytes that are held, and those that bodies which are being received will hold as well."""
+        return self.total + sum(body.remaining_bytes for body in self.incomplete_bodies)
+
     @property
     def is_full(self) -> bool:
         """Whether the total is above the high mark."""
@@ -154,13 +198,13 @@
         room = (self.limit - self.total) * READ_ROOM_FRACTION / max(1, len(self.incomplete_bodies))
         return int(max(MIN_READ_SIZE, min(MAX_READ_SIZE, room)))
 
-    def add_body(self, body: Waiter) -> None:
+    def add_body(self, body: Body) -> None:
         """Add a body that is beginning to arrive; without free space it has to wait."""
         self.incomplete_bodies[body] = None
         if self.total > self.body_mark:
             self.make_wait(body)
 
-    def remove_body(self, body: Waiter) -> None:
+    def remove_body(self, body: Body) -> None:
         """Remove a body that is complete or no longer wanted; the next oldest one may then grow."""
         if body in self.incomplete_bodies:
             self.stop_waiting(body)
--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -47,6 +47,7 @@
 WRITE_BATCH = 64 << 10  # bytes of replies that are written at once
 SHORT_ANSWER = 256  # bytes; answers up to that are always kept for their clients
 IMMEDIATE_REPLY_MEMORY = 256  # bytes of an immediate reply, besides its text
+VALUE_END_SIZE = 2  # bytes of the CRLF behind a value
 MAX_BAD_REQUESTS = 16  # bad requests at which a connection is closed, so that a flood of them costs little
 # A client that sends its request and its FIN together (`printf ... | nc`) still reads the reply, so attempts
 # for it may start within HALF_CLOSE_GRACE of the FIN. A client that has closed the connection looks the same,
@@ -335,11 +336,11 @@
             try:
                 rpc = self.gateway.command_parser.parse_head(frame, self.parser.items_left, now)
                 self.enqueue(rpc)
-                rpc.body = self.body = RequestStream(self.gateway.budget, self, rpc)
+                rpc.body = self.body = self.request_stream(rpc)
                 self.body.start()
                 self.reject_at_head(rpc)
             except BadRequestError as error:
-                self.body = RequestStream(self.gateway.budget, self, None)
+                self.body = self.request_stream(None)
                 self.body.start()
                 self.reject_bad_request(error)
         elif frame.is_last:
@@ -352,9 +353,14 @@
             return True
         return self.receive_body()
 
+    def request_stream(self, rpc: RPC | None) -> RequestStream:
+        """Return the stream of the long value that begins; one without an RPC is discarded."""
+        return RequestStream(self.gateway.budget, self, rpc, self.parser.value_left - VALUE_END_SIZE)
+
     def reject_at_head(self, rpc: RPC) -> None:
         """Reject a command before its long value has come, if that can't be taken or will not be sent on."""
-        if self.gateway.budget.is_exhausted:
+        budget = self.gateway.budget
+        if budget.is_exhausted or rpc.body.size > budget.longest_body:
             count("request_without_memory")
             self.reject_body(rpc.body, 0.0)
         elif (wait := self.early_retry_after(rpc)) is not None:
--- a/corkdeal/net/descriptors.py
+++ b/corkdeal/net/descriptors.py
@@ -35,6 +35,11 @@
         self.refused: set[Any] = set()  # client connections that found no descriptor free
         self.pool: Any = None
 
+    @property
+    def open_count(self) -> int:
+        """The number of descriptors that client and backend connections have."""
+        return len(self.client_connections) + len(self.pool.open) + len(self.pool.closing)
+
     def reserved_for_backends(self) -> int:
         """Return the descriptors kept for backends: at least an eighth, and a sixteenth beyond those open."""
         return max(self.limit // 8, len(self.pool.open) + self.limit // 16)
--- a/corkdeal/net/request_stream.py
+++ b/corkdeal/net/request_stream.py
@@ -37,8 +37,11 @@
 class RequestStream:
     """The large value of one command, which holds part of the memory budget; discarded if `rpc` is None."""
 
-    def __init__(self, budget: Budget, client_connection: ClientConnection, rpc: RPC | None) -> None:
-        self.budget, self.client_connection, self.rpc = budget, client_connection, rpc
+    def __init__(
+        self, budget: Budget, client_connection: ClientConnection, rpc: RPC | None, size: int
+    ) -> None:
+        """`size` is the value's length in bytes."""
+        self.budget, self.client_connection, self.rpc, self.size = budget, client_connection, rpc, size
         self.buffer = PieceBuffer()
         self.held_bytes = 0  # bytes held, for the memory budget
         self.received = self.received_at_check = 0  # bytes received so far, and at the last check
@@ -47,6 +50,11 @@
         self.rate_check: IDelayedCall | None = None
         self.memory_timer: IDelayedCall | None = None  # while it waits for memory
 
+    @property
+    def remaining_bytes(self) -> int:
+        """The bytes still to be received, for the memory budget."""
+        return max(0, self.size - self.received)
+
     def start(self) -> None:
         """Begin to take part in the budget, which may pause the client connection at once."""
         self.schedule_rate_check()
@@ -96,6 +104,11 @@
         count("body_without_room")
         self.client_connection.reject_body(self, MEMORY_TIMEOUT)
 
+    def evict(self) -> None:
+        """Reject the command, as the budget's callback: another process needs the memory."""
+        count("body_evicted")
+        self.client_connection.reject_body(self, MEMORY_TIMEOUT)
+
     def schedule_rate_check(self) -> None:
         """Schedule the next check of the receive rate."""
         self.rate_check = self.client_connection.gateway.reactor.callLater(
--- a/corkdeal/net/upgrade.py
+++ b/corkdeal/net/upgrade.py
@@ -9,8 +9,6 @@
 from __future__ import annotations
 
 import contextlib
-import os
-import tempfile
 from collections.abc import Callable, Iterator
 from typing import Any
 
@@ -21,15 +19,15 @@
 from ..persistence.handover_files import HandoverFiles, HandoverPart
 from ..persistence.quota_handover import SUCCESSOR_FRACTION, PartialState
 from ..persistence.restore import RestoredState
-from ..persistence.store import gateway_folder
 from .budget import max_open_ids
 from .invariants import count, counts
+from .limit_sharing import LimitSharing
 from .open_ids import OpenIds
 from .request_ids import RETENTION_TIME
 from .shared_ids import SharedIds
 from .shutdown import KILL_DELAY, MAX_CLASS_DEADLINE
+from .upgrade_start import handover_folder
 
-FOLDER_NAME = "corkdeal-lives"  # in the folder for temporary files
 POLL_INTERVAL = 0.02  # seconds between checks for the predecessor's first snapshot
 POLL_TIMEOUT = 1.0  # seconds after which this process starts without that snapshot
 CHECK_INTERVAL = 0.1  # seconds between checks whether another process has started or ended
@@ -39,13 +37,14 @@
 class UpgradeHandover:
     """The handover from this process's predecessor, and the one to its successor."""
 
-    def __init__(self, reactor: Any, gateway: Any) -> None:
+    def __init__(self, reactor: Any, gateway: Any, files: HandoverFiles | None = None) -> None:
+        """`files` are those of a process that has its incarnation number already. Raises `OSError`."""
         self.reactor = reactor
         self.gateway = gateway
         self.decisions = gateway.decisions
-        folder = os.path.join(tempfile.gettempdir(), FOLDER_NAME)
-        self.folder = gateway_folder(folder, gateway.config.name)
-        self.files = HandoverFiles(self.folder)
+        self.folder = handover_folder(gateway.config.name)
+        self.files = files or HandoverFiles(self.folder)
+        self.limit_sharing: LimitSharing | None = None
         self.predecessor: int | None = None  # incarnation that still has a fraction of the quota
         self.partial_state: PartialState | None = None  # what the predecessor handed over first
         self.predecessor_fraction = 0.0  # fraction of the quota that the predecessor kept
@@ -60,11 +59,22 @@
         """Whether the predecessor still has the ledgers and is expected to hand them over."""
         return self.predecessor is not None and self.partial_state is not None
 
+    def join(self) -> None:
+        """Take the next incarnation number, unless that was done before. Raises `OSError`."""
+        if not self.files.incarnation:
+            self.files.join()
+
+    def share_limits(self) -> None:
+        """Divide the gateway's limits on memory and descriptors with the other processes from now on."""
+        self.limit_sharing = LimitSharing(self.reactor, self.gateway, self.files)
+        self.limit_sharing.start()
+
     # As the successor of another process
 
     def take_over(self, start: Callable[[], None]) -> None:
         """Take over the first part from the predecessor, if there is one, then call `start`."""
-        self.predecessor = self.files.join()
+        self.join()
+        self.predecessor = self.files.predecessor()
         self.reactor.callLater(CHECK_INTERVAL, self._check)
         self._poll_partial_state(start)
 
@@ -219,9 +229,13 @@
             self.reactor.callLater(RETENTION_TIME, self._end_sharing, self.gateway.request_ids.shared)
         if self.successor is None:
             successor = self.files.successor()
-            if successor is not None and self.gateway.has_started:
+            if successor is not None and self.gateway.has_started and self._is_loaded(successor):
                 self._hand_over_partial_state(successor)
 
+    def _is_loaded(self, successor: int) -> bool:
+        """Return whether a process that has started needs its part of the quota yet."""
+        return self.limit_sharing is None or self.limit_sharing.has_started(successor)
+
     def _disable(self, error: OSError) -> None:
         """Stop all handovers, because the folder can't be used any more.
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -69,6 +69,16 @@
     assert "good" in run("check", env={"CORKDEAL_OPTIONS": OPTIONS})
 
 
+def test_check_warns_of_limits_that_two_processes_of_an_upgrade_may_pass(tmp_path):
+    config = tmp_path / "config.json"
+    raw = json.loads(pathlib.Path(CONFIG).read_text())
+    config.write_text(json.dumps({**raw, "limits": {"memory_mb": 64, "sockets": 60}}))
+    text = run("check", "--config", config)
+    assert "warning: limits.memory_mb: below 74 " in text and "warning: limits.sockets: below 64 " in text
+    config.write_text(json.dumps({**raw, "limits": {"memory_mb": 74, "sockets": 64}}))
+    assert json.loads(run("check", "--config", config, "--json"))["warnings"] == []
+
+
 def test_show_prints_ages_and_weights(folder):
     output = json.loads(run("knowledge", "show", folder, "--json"))
     assert output["generation"] == 2 and output["accounts"][0]["customer"] == "0000000000000007"
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -84,7 +84,7 @@
     "errors",
 }
 PURE_PERSISTENCE_MODULES |= {"quota_handover"}
-PURE_NET_MODULES = {"discovery_snapshot", "discovery_retry"}
+PURE_NET_MODULES = {"discovery_snapshot", "discovery_retry", "process_limits"}
 IO_MODULES = {
     "os",
     "socket",
