Divide the descriptors between the processes of an upgrade

Callers saw nothing before the platform acts: twice as many clients as descriptors, each asking again and again for an answer of 0.5 s, had 421 to 493 descriptors of 256 open in both processes of an upgrade, and 1,501 of 1,024.

Cause: as with memory, each process took the whole limit.

The claims that divide the memory divide the descriptors, too. An older process that has to give some up closes idle connections, then others behind their next answers, the longest idle first, and counts each until it is closed. While draining it also closes backend connections that no client connection needs. A process without a free descriptor leaves new connections in the queue of the shared listening socket for up to 0.25 s: the other process may accept them, or free some.

--- a/corkdeal/net/applied_limits.py
+++ b/corkdeal/net/applied_limits.py
@@ -1,4 +1,4 @@
-"""Applies this process's part of the gateway's limits to its memory budget."""
+"""Applies this process's part of the gateway's limits to its memory budget and its descriptors."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 
 from . import allocator, process_memory
 from .budget import CONNECTION_MEMORY
+from .descriptors import RESERVED
 from .process_limits import Allowance, GatewayLimits, OtherProcesses, Usage, allow
 
 TRIM_INTERVAL = 0.1  # s between returns of freed memory to the system, while there are other processes
@@ -38,11 +39,15 @@
 
     def apply(self, allowance: Allowance, others: OtherProcesses) -> None:
         """Apply an allowance; what is held beyond it is freed, as far as that can be done now."""
-        budget = self.gateway.budget
+        budget, descriptors = self.gateway.budget, self.gateway.descriptors
         if allowance.budget != budget.limit:
             fixed = self.usage().held_by_names_and_connections if others else 0
             budget.change_limit(allowance.budget, fixed)
+        if allowance.connections != descriptors.limit:
+            descriptors.change_limit(allowance.connections)
+        descriptors.may_leave_queued = may_leave_queued(allowance, others)
         if others:
+            descriptors.close_excess(self.gateway.shutdown.is_draining)
             self.return_free_memory(is_urgent=allowance.budget < self.allowance.budget)
         self.allowance = allowance
 
@@ -52,3 +57,10 @@
         if is_urgent or now - self.trimmed_at >= TRIM_INTERVAL:
             self.trimmed_at = now
             allocator.return_free_memory()
+
+
+def may_leave_queued(allowance: Allowance, others: OtherProcesses) -> bool:
+    """Return whether another process may accept clients, or is about to free descriptors for this one."""
+    if any(claim.is_started for claim in others.younger):
+        return True
+    return any(claim.descriptors > RESERVED + allowance.connections for claim in others.older)
--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -63,6 +63,8 @@
 # s between checks whether the client has taken all, so that the connection can be closed: after an error, and
 # at first where none was sent
 LINGER, MIN_LINGER = 0.5, 0.01
+# Reasons for which clients are not idle; they may be about to send a request.
+QUIET_CLOSE_REASONS = (CloseReason.SHUTDOWN, CloseReason.STANDBY, CloseReason.UPGRADE)
 OK = b"+OK\r\n"
 NO_COMMAND_MEMORY_REPLY = b"-ERR failed: no memory for the command\r\n"
 NO_MEMORY_REPLY = b"-ERR failed: no memory for the answer\r\n"
@@ -823,7 +825,7 @@
         """Return for how many seconds a connection has to be idle before it is closed without an answer."""
         if not self.has_sent_command:
             return MIN_SILENT_TIME
-        return MIN_QUIET_TIME if self.close_reason in (CloseReason.SHUTDOWN, CloseReason.STANDBY) else 0.0
+        return MIN_QUIET_TIME if self.close_reason in QUIET_CLOSE_REASONS else 0.0
 
     def has_unread_bytes(self) -> bool:
         """Return whether there are unread bytes, whose request would be lost by closing now."""
@@ -960,6 +962,10 @@
     def __init__(self, gateway: Any) -> None:
         self.gateway = gateway
 
+    def acceptable_count(self, most: int) -> int:
+        """Return how many new connections to accept now, up to `most`."""
+        return int(self.gateway.descriptors.acceptable_count(most))
+
     def buildProtocol(self, addr: Any) -> ClientConnection:
         """Return the protocol of one new connection."""
         return ClientConnection(self.gateway)
--- a/corkdeal/net/client_port.py
+++ b/corkdeal/net/client_port.py
@@ -14,6 +14,7 @@
 
 from .client_transport import ClientTransport
 
+QUEUE_CHECK_INTERVAL = 0.02  # s between looks at connections that are left in the queue
 MAX_ACCEPTS = 16  # connections accepted in one reactor iteration, at about 0.3 ms each; the rest stay queued
 
 
@@ -24,9 +25,19 @@
 
     def doRead(self) -> None:
         """Accept some of the queued connections; the reactor calls again while any are left."""
-        self.numberAccepts = min(self.numberAccepts, MAX_ACCEPTS)
+        count = self.factory.acceptable_count(MAX_ACCEPTS)
+        if not count:
+            self.stopReading()
+            self.reactor.callLater(QUEUE_CHECK_INTERVAL, self.look_at_queue)
+            return
+        self.numberAccepts = min(self.numberAccepts, count)
         super().doRead()
 
+    def look_at_queue(self) -> None:
+        """Accept again, unless the port was closed meanwhile."""
+        if self.connected and not self.disconnecting:
+            self.startReading()
+
     def accept_queued(self) -> None:
         """Accept all connections that the kernel has queued for this port: closing it would reset them.
 
--- a/corkdeal/net/close_reason.py
+++ b/corkdeal/net/close_reason.py
@@ -24,3 +24,4 @@
     ANSWER_CUT_OFF = "answer_cut_off"  # a long answer broke off
     STANDBY = "standby"
     SHUTDOWN = "shutdown"
+    UPGRADE = "upgrade"  # its descriptor was needed by the other process of an upgrade
--- a/corkdeal/net/descriptors.py
+++ b/corkdeal/net/descriptors.py
@@ -13,6 +13,7 @@
 RESERVED = 24  # descriptors for the log, discovery, peers and connections being closed
 # of the descriptors; for connections that find none free, until their first requests are rejected
 REFUSED_FRACTION = 1 / 32
+MAX_QUEUE_TIME = 0.25  # s for which new connections are left in the queue while no descriptor is free
 COMMAND_TIMEOUT = 2.5  # s within which a command must be complete; clients are promised 2 s
 IDLE_TIMEOUT = 10.0  # s without a pending RPC after which a client connection is closed
 # s without a pending RPC after which a client connection may be evicted, or is closed while many are open;
@@ -28,7 +29,10 @@
     """Decides who may open a connection. `client_connections` is the gateway's set; set `pool` before use."""
 
     def __init__(self, limit: int, client_connections: set[Any], now: Callable[[], float]) -> None:
-        self.limit, self.client_connections, self.now = limit - RESERVED, client_connections, now
+        self.client_connections, self.now = client_connections, now
+        self.limit = limit - RESERVED  # of client and backend connections together
+        self.may_leave_queued = False  # whether another process may accept, or free descriptors for this one
+        self.queue_full_since: float | None = None  # since when queued connections are left unaccepted
         self.idle = IdleConnections()
         self.stalled_readers = StalledReaders(now)
         self.paused: set[Any] = set()  # client connections from which reading is paused
@@ -40,6 +44,56 @@
         """The number of descriptors that client and backend connections have."""
         return len(self.client_connections) + len(self.pool.open) + len(self.pool.closing)
 
+    def change_limit(self, limit: int) -> None:
+        """Change how many client and backend connections may be open together."""
+        self.limit = limit
+        self.pool.max_connections = (limit + RESERVED) // 2
+
+    def close_excess(self, is_draining: bool) -> None:
+        """Close connections beyond the limit: idle ones now, others behind their next answers.
+
+        While draining, backend connections are closed that no client connection can need any more.
+        """
+        backend_limit = self.pool.max_connections
+        if is_draining:
+            backend_limit = min(backend_limit, len(self.client_connections))
+        while len(self.pool.open) > backend_limit and self.pool.evict_idle():
+            pass
+        while self.open_count > self.limit and self.evict():
+            pass
+        others = [each for each in self.client_connections if not each.closing]
+        excess = self.open_count - (len(self.client_connections) - len(others)) - self.limit
+        others.sort(key=lambda connection: connection.idle_since)
+        for connection in others[: max(0, excess)]:
+            count("client_connection_closed_for_upgrade")
+            connection.close_when_idle(CloseReason.UPGRADE)
+
+    def acceptable_count(self, most: int) -> int:
+        """Return how many new connections to accept now, up to `most`; the others stay in the kernel's queue.
+
+        During an upgrade the other process may accept them, or is about to free descriptors for this one.
+        After `MAX_QUEUE_TIME` without a free descriptor they are accepted anyway, and may have to be refused.
+        Each new client is likely to need a backend connection, too.
+        """
+        if not self.may_leave_queued:
+            return most
+        room = -(-self.room_for_clients() // 2) or int(self.evict())
+        now = self.now()
+        if room:
+            self.queue_full_since = None
+            return min(room, most)
+        if self.queue_full_since is None:
+            self.queue_full_since = now
+        if now - self.queue_full_since < MAX_QUEUE_TIME:
+            return 0
+        self.queue_full_since = None
+        return most
+
+    def room_for_clients(self) -> int:
+        """Return how many more client connections may be open."""
+        reserved = max(self.reserved_for_backends(), len(self.pool.open) + len(self.pool.closing))
+        return max(0, self.limit - reserved - len(self.client_connections))
+
     def reserved_for_backends(self) -> int:
         """Return the descriptors kept for backends: at least an eighth, and a sixteenth beyond those open."""
         return max(self.limit // 8, len(self.pool.open) + self.limit // 16)
--- a/corkdeal/net/limit_sharing.py
+++ b/corkdeal/net/limit_sharing.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import Any
 
 from .. import logs
@@ -15,6 +16,7 @@
 from ..persistence.handover_files import HandoverFiles
 from . import process_memory
 from .applied_limits import AppliedLimits
+from .descriptors import RESERVED
 from .invariants import count
 from .process_limits import (
     MIN_DESCRIPTORS_FOR_UPGRADE,
@@ -149,12 +151,18 @@
 
 
 def share_without_folder(reactor: Any, gateway: Any) -> None:
-    """Use the least until a predecessor must have ended, since without the folder nothing tells of one."""
+    """Use less until a predecessor must have ended, since without the folder nothing tells of one.
+
+    That is the least of memory, with which short requests are served, and half of the descriptors: with the
+    least of those a first process could serve next to nobody.
+    """
     count("limits_not_shared")
     log_small_limits(gateway.config.memory, gateway.config.sockets)
     applied = AppliedLimits(gateway)
     unknown = OtherProcesses(older=[whole_claim(applied.limits)])
-    applied.apply(applied.allow(unknown), unknown)
+    least = applied.allow(unknown)
+    half = applied.limits.descriptors // 2 - RESERVED
+    applied.apply(dataclasses.replace(least, connections=max(half, least.connections)), unknown)
     reactor.callLater(PREDECESSOR_TIME, take_whole_limits, applied)
 
 
--- a/tests/test_changed_limits.py
+++ b/tests/test_changed_limits.py
@@ -1,12 +1,16 @@
-"""The memory budget of a process while another one has a part of the limits."""
+"""The memory budget and the descriptors of a process while another one has a part of the limits."""
+
+import types
 
 from corkdeal.net import gateway
 from corkdeal.net.budget import MIN_SHARED_BUDGET
+from corkdeal.net.descriptors import MAX_QUEUE_TIME, RESERVED, Descriptors
 from corkdeal.net.resp import MAX_VALUE
 
 from .test_bodies import HEAD, LONG, TAIL, VALUE, BudgetHolder, FakeTransport, GatewayWithClient, write
 
 BUSY = b"-BUSY"
+MOST = 16  # connections accepted at once
 
 
 def answers_to(transport):
@@ -89,3 +93,66 @@
     conn.dataReceived(HEAD + VALUE + TAIL)
     harness.client.take()
     assert bytes(harness.client.taken) == VALUE
+
+
+class FakePool:
+    """Backend connections, of which some are idle."""
+
+    def __init__(self, open_count, idle_count=0):
+        self.open, self.closing = set(range(open_count)), set()
+        self.idle_count, self.max_connections = idle_count, 512
+
+    def evict_idle(self):
+        if not self.idle_count:
+            return False
+        self.idle_count -= 1
+        self.open.pop()
+        return True
+
+
+class FakeConnection:
+    """A client connection that is busy."""
+
+    def __init__(self, idle_since):
+        self.idle_since, self.closing = idle_since, False
+
+    def close_when_idle(self, reason):
+        self.closing = True
+
+
+def descriptors_with(clients, backends=0, idle_backends=0, limit=100 + RESERVED):
+    clock = types.SimpleNamespace(time=10.0)
+    connections = {FakeConnection(number) for number in range(clients)}
+    descriptors = Descriptors(limit, connections, lambda: clock.time)
+    descriptors.pool = FakePool(backends, idle_backends)
+    return descriptors, clock
+
+
+def test_connections_beyond_a_smaller_limit_are_closed_behind_their_answers_the_longest_idle_first():
+    descriptors, _ = descriptors_with(clients=60, backends=40, idle_backends=30)
+    descriptors.change_limit(50)
+    descriptors.close_excess(is_draining=False)
+    closing = sorted(each.idle_since for each in descriptors.client_connections if each.closing)
+    assert len(descriptors.pool.open) == 37 and closing == list(range(60 + 37 - 50))
+    descriptors.close_excess(is_draining=False)
+    assert sum(each.closing for each in descriptors.client_connections) == len(closing)
+
+
+def test_a_draining_process_closes_backend_connections_that_no_client_needs():
+    descriptors, _ = descriptors_with(clients=3, backends=20, idle_backends=18)
+    descriptors.close_excess(is_draining=True)
+    assert len(descriptors.pool.open) == 3
+
+
+def test_new_connections_are_left_to_the_other_process_for_a_while_and_taken_in_pairs_with_backends():
+    descriptors, clock = descriptors_with(clients=80)
+    assert descriptors.acceptable_count(MOST) == MOST
+    descriptors.may_leave_queued = True
+    assert descriptors.acceptable_count(MOST) == 4  # 8 are free beside those for backends
+    descriptors.client_connections.update(FakeConnection(0) for _ in range(8))
+    assert descriptors.acceptable_count(MOST) == 0
+    clock.time += MAX_QUEUE_TIME / 2
+    assert descriptors.acceptable_count(MOST) == 0
+    clock.time += MAX_QUEUE_TIME
+    assert descriptors.acceptable_count(MOST) == MOST
+    assert descriptors.acceptable_count(MOST) == 0
--- a/tests/test_loop_lateness.py
+++ b/tests/test_loop_lateness.py
@@ -74,6 +74,9 @@
     def __init__(self):
         self.accepted = []
 
+    def acceptable_count(self, most):
+        return most
+
     def buildProtocol(self, addr):
         self.accepted.append(Protocol())
         return self.accepted[-1]
