--- a/tests/faults/test_memory_in_upgrades.py
+++ b/tests/faults/test_memory_in_upgrades.py
@@ -11,7 +11,7 @@
 from corkdeal.net.budget import budget_for
 
 from .test_ids_in_upgrades import Upgrade
-from .world import gather_paced, memory_of, reply_small, run, send_and_stay
+from .world import gather_paced, memory_of, reply_small, run, send_and_stay, send_new_names
 
 MEMORY_MB = 192
 CLIENTS = 400
@@ -20,6 +20,7 @@
 BEGIN_INTERVAL = 1 / 12  # s between two clients that begin to write
 TIME_BEFORE, TIME_AFTER = 4.0, 2.0  # s that clients write before the upgrade, and after its end
 PART_TIMEOUT = 10.0  # s
+NAME_SENDERS, NAME_TIME = 4, 60.0  # clients that name ever new customers, and s for which they would
 PART = re.compile(r" limits .*others=(\S+) memory_budget=(\d+) ")
 
 
@@ -177,3 +178,29 @@
             await world.until_whole_budget(2)
 
     run(check())
+
+
+# Customers' records are kept by both processes, besides all else.
+@pytest.mark.parametrize("memory_mb", [64, 96, 192])
+def test_ever_new_customers_at_both_processes_do_not_take_them_over_the_limit(memory_mb):
+    async def check():
+        async with LongValues(memory_mb) as world:
+            world.start_writing()
+            for _ in range(NAME_SENDERS):
+                world.tasks.append(asyncio.create_task(keep_sending_new_names(world)))
+            await asyncio.sleep(TIME_BEFORE)
+            old = world.process
+            await world.start_successor()
+            await world.end(old)
+            await asyncio.sleep(TIME_AFTER)
+            world.assert_within_limit()
+
+    run(check())
+
+
+async def keep_sending_new_names(world):
+    """Send requests of new customers, on a new connection whenever the last one ended."""
+    while True:
+        with contextlib.suppress(OSError):
+            await send_new_names(world, NAME_TIME)
+        await asyncio.sleep(WRITE_INTERVAL)
