Answer the requests of connections that waited in the queue during an upgrade

What callers saw: while two processes of an upgrade had no free descriptor, clients that had connected and sent two requests got "-ERR max number of clients reached" for the first and nothing for the second.

Cause: a connection that finds no descriptor is dropped at once unless it is one of the few that may stay until their requests are rejected. Connections used to be accepted before their clients had written; those that are left in the queue for a while have requests unread, so up to 16 were accepted at once and most of them dropped. The trace of such a moment: limit 104, open 104, refused 4 of 4, one more accepted in each iteration.

While the limits are shared a sixteenth of a process's descriptors is kept for connections that have to be refused, and no more are accepted at once than of those are free. An idle connection is closed for a new one only where that makes room for it. The first look at the others' claims may fail while another process has the table, so a start begins with the least; without the folder a part follows the number of connections; a process that drains while its successor still loads its program goes on accepting.

--- a/corkdeal/net/applied_limits.py
+++ b/corkdeal/net/applied_limits.py
@@ -37,6 +37,10 @@
         is_draining = self.gateway.shutdown.is_draining
         return allow(self.limits, self.usage(), others, self.allowance, is_draining)
 
+    def adapt(self, others: OtherProcesses) -> None:
+        """Use what the others leave."""
+        self.apply(self.allow(others), others)
+
     def apply(self, allowance: Allowance, others: OtherProcesses) -> None:
         """Apply an allowance; what is held beyond it is freed, as far as that can be done now."""
         budget, descriptors = self.gateway.budget, self.gateway.descriptors
@@ -45,6 +49,7 @@
             budget.change_limit(allowance.budget, fixed)
         if allowance.connections != descriptors.limit:
             descriptors.change_limit(allowance.connections)
+        descriptors.is_shared = bool(others)
         descriptors.may_leave_queued = may_leave_queued(allowance, others)
         if others:
             descriptors.close_excess(self.gateway.shutdown.is_draining)
--- a/corkdeal/net/descriptors.py
+++ b/corkdeal/net/descriptors.py
@@ -14,6 +14,8 @@
 # of the descriptors; for connections that find none free, until their first requests are rejected
 REFUSED_FRACTION = 1 / 32
 MAX_QUEUE_TIME = 0.25  # s for which new connections are left in the queue while no descriptor is free
+# The same during an upgrade, when those that were left in the queue for a while have sent requests.
+REFUSED_FRACTION_IN_UPGRADE, MIN_REFUSED_IN_UPGRADE = 1 / 16, 2
 COMMAND_TIMEOUT = 2.5  # s within which a command must be complete; clients are promised 2 s
 IDLE_TIMEOUT = 10.0  # s without a pending RPC after which a client connection is closed
 # s without a pending RPC after which a client connection may be evicted, or is closed while many are open;
@@ -31,6 +33,7 @@
     def __init__(self, limit: int, client_connections: set[Any], now: Callable[[], float]) -> None:
         self.client_connections, self.now = client_connections, now
         self.limit = limit - RESERVED  # of client and backend connections together
+        self.is_shared = False  # whether other processes have a part of the gateway's descriptors
         self.may_leave_queued = False  # whether another process may accept, or free descriptors for this one
         self.queue_full_since: float | None = None  # since when queued connections are left unaccepted
         self.idle = IdleConnections()
@@ -61,6 +64,8 @@
             pass
         while self.open_count > self.limit and self.evict():
             pass
+        if self.open_count <= self.limit:
+            return
         others = [each for each in self.client_connections if not each.closing]
         excess = self.open_count - (len(self.client_connections) - len(others)) - self.limit
         others.sort(key=lambda connection: connection.idle_since)
@@ -72,27 +77,44 @@
         """Return how many new connections to accept now, up to `most`; the others stay in the kernel's queue.
 
         During an upgrade the other process may accept them, or is about to free descriptors for this one.
-        After `MAX_QUEUE_TIME` without a free descriptor they are accepted anyway, and may have to be refused.
-        Each new client is likely to need a backend connection, too.
+        Those that have waited for `MAX_QUEUE_TIME` have sent requests, so only as many are accepted as can
+        be kept until these are rejected. Each new client is likely to need a backend connection, too.
         """
-        if not self.may_leave_queued:
+        if not self.is_shared:
             return most
-        room = -(-self.room_for_clients() // 2) or int(self.evict())
-        now = self.now()
-        if room:
+        while self.room_for_clients() <= 0 and self.evict():
+            pass
+        room = self.room_for_clients()
+        if room > 0:
             self.queue_full_since = None
-            return min(room, most)
+            return min(-(-room // 2), most)
+        if self.is_queue_left():
+            return 0
+        return min(most, max(0, self.max_refused(self.open_count) - len(self.refused)))
+
+    def is_queue_left(self) -> bool:
+        """Return whether new connections are left in the queue because no descriptor is free."""
+        if not self.may_leave_queued:
+            return False
+        now = self.now()
         if self.queue_full_since is None:
             self.queue_full_since = now
-        if now - self.queue_full_since < MAX_QUEUE_TIME:
-            return 0
-        self.queue_full_since = None
-        return most
+        return now - self.queue_full_since < MAX_QUEUE_TIME
 
     def room_for_clients(self) -> int:
-        """Return how many more client connections may be open."""
+        """Return how many more client connections may be open; less than 0 if there are too many."""
         reserved = max(self.reserved_for_backends(), len(self.pool.open) + len(self.pool.closing))
-        return max(0, self.limit - reserved - len(self.client_connections))
+        if self.is_shared:  # some are kept free for connections that are refused
+            reserved += self.max_refused(self.open_count) - len(self.refused)
+        return self.limit - reserved - len(self.client_connections)
+
+    def max_refused(self, open_count: int) -> int:
+        """Return how many connections that are refused may be open during an upgrade, among `open_count`.
+
+        While more is open than allowed these are few, which have descriptors of `RESERVED`.
+        """
+        free = self.limit - open_count + len(self.refused)
+        return max(MIN_REFUSED_IN_UPGRADE, min(free, int(self.limit * REFUSED_FRACTION_IN_UPGRADE)))
 
     def reserved_for_backends(self) -> int:
         """Return the descriptors kept for backends: at least an eighth, and a sixteenth beyond those open."""
@@ -100,16 +122,16 @@
 
     def admit_client_connection(self) -> bool:
         """Return whether an accepted client connection may stay; may evict an idle connection for it."""
-        reserved_for_backends = max(
-            self.reserved_for_backends(), len(self.pool.open) + len(self.pool.closing)
-        )
-        return len(self.client_connections) + reserved_for_backends <= self.limit or self.evict()
+        return self.room_for_clients() >= 0 or self.evict()
 
     def may_keep_refused(self) -> bool:
         """Return whether a connection that found no descriptor free may stay until its requests are rejected.
 
-        It has one of those that are reserved for backends; few enough that backends always find some.
+        It is counted as open already, and has one of those that are reserved for backends; few enough that
+        backends always find some.
         """
+        if self.is_shared:
+            return len(self.refused) < self.max_refused(self.open_count - 1)
         backends = len(self.pool.open) + len(self.pool.closing)
         has_free = len(self.client_connections) + backends + self.limit // 16 < self.limit
         return has_free and len(self.refused) < self.limit * REFUSED_FRACTION
--- a/corkdeal/net/limit_sharing.py
+++ b/corkdeal/net/limit_sharing.py
@@ -51,6 +51,7 @@
         self.running: list[int] = []  # the other processes, as of the last look
         self.claims: dict[int, Claim] = {}  # theirs, as far as stated
         self.first_seen_at: dict[int, float] = {}  # s; when each of them was seen first
+        self.others = OtherProcesses()  # their claims, as of the last look
         self.failing_since: float | None = None  # s; since when the folder can't be used
         self.logged_at = 0.0  # s
         self.logged: tuple[list[int], Allowance] = ([], self.applied.allowance)
@@ -58,6 +59,8 @@
     def start(self) -> None:
         """Take this process's part of the limits, and follow the other processes from now on."""
         log_small_limits(self.gateway.config.memory, self.gateway.config.sockets)
+        self.running = self.files.running()
+        self.applied.adapt(self._other_processes())  # theirs may not be known at the first look
         self.check()
 
     def has_started(self, incarnation: int) -> bool:
@@ -87,11 +90,11 @@
         with self.table.locked():
             claims = self.table.read()
             self.claims = {each: claims[each] for each in self.running if each in claims}
-            others = self._other_processes()
-            before, allowance = self.applied.allowance, self.applied.allow(others)
+            self.others = self._other_processes()
+            before, allowance = self.applied.allowance, self.applied.allow(self.others)
             if allowance.budget > before.budget or allowance.connections > before.connections:
                 self._state_claim(allowance)
-            self.applied.apply(allowance, others)
+            self.applied.apply(allowance, self.others)
             self._state_claim(allowance)
         self._log()
 
@@ -124,7 +127,8 @@
             self.failing_since = now
             count("limits_not_shared")
         elif now - self.failing_since >= PREDECESSOR_TIME:
-            take_whole_limits(self.applied)
+            self.others = OtherProcesses()
+        self.applied.adapt(self.others)
 
     def _log(self) -> None:
         """Log this process's part when it has changed, but not each step of it."""
@@ -144,12 +148,6 @@
         )
 
 
-def take_whole_limits(applied: AppliedLimits) -> None:
-    """Take all of the gateway's limits: there is no other process any more."""
-    alone = OtherProcesses()
-    applied.apply(applied.allow(alone), alone)
-
-
 def share_without_folder(reactor: Any, gateway: Any) -> None:
     """Use less until a predecessor must have ended, since without the folder nothing tells of one.
 
@@ -159,11 +157,19 @@
     count("limits_not_shared")
     log_small_limits(gateway.config.memory, gateway.config.sockets)
     applied = AppliedLimits(gateway)
+    _adapt_to_unknown(reactor, applied, gateway.now() + PREDECESSOR_TIME)
+
+
+def _adapt_to_unknown(reactor: Any, applied: AppliedLimits, until: float) -> None:
+    """Adapt to a predecessor that uses as much as it may, until that time on the gateway's clock."""
+    if applied.gateway.now() >= until:
+        applied.adapt(OtherProcesses())
+        return
+    reactor.callLater(CHECK_INTERVAL, _adapt_to_unknown, reactor, applied, until)
     unknown = OtherProcesses(older=[whole_claim(applied.limits)])
     least = applied.allow(unknown)
     half = applied.limits.descriptors // 2 - RESERVED
     applied.apply(dataclasses.replace(least, connections=max(half, least.connections)), unknown)
-    reactor.callLater(PREDECESSOR_TIME, take_whole_limits, applied)
 
 
 def log_small_limits(memory: int, descriptors: int) -> None:
--- a/corkdeal/net/process_limits.py
+++ b/corkdeal/net/process_limits.py
@@ -108,7 +108,7 @@
     )
     least_budget = MIN_SHARED_BUDGET + usage.held_by_names_and_connections
     budget = min(int(memory * HELD_FRACTION), budget_for(limits.memory))
-    if is_draining and others.younger:
+    if is_draining and started_count:
         budget = min(budget, previous.budget, usage.committed + MIN_SHARED_BUDGET)
         connections = min(connections, previous.connections, usage.connections)
     return Allowance(max(budget, least_budget), max(connections, MIN_CONNECTIONS))
--- a/corkdeal/net/upgrade_start.py
+++ b/corkdeal/net/upgrade_start.py
@@ -54,6 +54,7 @@
             claims = table.read()
     except FolderLockedError:
         return False
-    older = [claims.get(each, whole_claim(limits)) for each in running if each < files.incarnation]
-    # An earlier version states no claim, and makes no room.
-    return not any(each in claims for each in running) or fits(limits, [*older, first_claim()])
+    older = [each for each in running if each < files.incarnation]
+    if not any(each in claims for each in older):
+        return True  # there is none, or one of an earlier version, which makes no room
+    return fits(limits, [first_claim(), *(claims.get(each, whole_claim(limits)) for each in older)])
