Reject a command that waits for memory when its caller's time is up

Cause: a value that finds no room in the memory budget waits unread for up to 2 s, and the time of its request was looked at only once its last byte had been read. It had come whole.

Now the kernel is asked, at the end of the caller's time and then as needed, whether the rest of the command lies in the socket, and since when. If so, the command is rejected once its time is up; if not, its time has not begun, and it waits for up to 2 s as before.

--- a/corkdeal/net/client_connection.py
+++ b/corkdeal/net/client_connection.py
@@ -35,6 +35,7 @@
     seconds_since_fin,
     seconds_since_last_data,
     unacknowledged_bytes,
+    unread_bytes,
 )
 
 MAX_PENDING_REPLIES = 256  # unanswered commands at which the gateway stops reading from a client connection
@@ -389,6 +390,16 @@
             self.update_reading()
             self.flush()
 
+    def time_since_end_of(self, body: RequestStream) -> float | None:
+        """Return for how many seconds a value that waits for memory has lain unread to its last byte.
+
+        None stands for one whose end has not come. Bytes behind it make that time too short.
+        """
+        handle = self.transport.getHandle()
+        if unread_bytes(handle) + len(self._buffer) < body.remaining_bytes + VALUE_END_SIZE:
+            return None
+        return seconds_since_last_data(handle)
+
     def body_timed_out(self) -> None:
         """Close the connection because a large value stalled; its RPC is dropped."""
         self.drop_body()
--- a/corkdeal/net/request_stream.py
+++ b/corkdeal/net/request_stream.py
@@ -25,6 +25,7 @@
 RATE_CHECK_INTERVAL = 2.5  # s between checks of the receive rate
 MIN_RECEIVE_RATE = 16 * 1024  # bytes/s that a client must send at least, checked every RATE_CHECK_INTERVAL
 MEMORY_TIMEOUT = 2.0  # s that a value may wait for memory, after which its command is rejected
+MIN_MEMORY_CHECK_INTERVAL = 0.1  # s between checks whether the time of a waiting value is up
 WRITE_BATCH = 256 * 1024  # bytes passed to a transport at once
 
 
@@ -88,9 +89,7 @@
         """Pause reading from the client, as the budget's callback: memory is short."""
         self.waiting_since = self.client_connection.gateway.now()
         self.client_connection.update_reading()
-        self.memory_timer = self.client_connection.gateway.reactor.callLater(
-            MEMORY_TIMEOUT, self.memory_wait_expired
-        )
+        self.schedule_memory_check(MEMORY_TIMEOUT)
 
     def resume_with_space(self) -> None:
         """Resume reading from the client, as the budget's callback: memory is free again."""
@@ -98,9 +97,25 @@
         cancel(self.memory_timer)
         self.client_connection.update_reading()
 
-    def memory_wait_expired(self) -> None:
-        """Reject the command, which has waited for memory for `MEMORY_TIMEOUT`."""
+    def schedule_memory_check(self, time_left: float) -> None:
+        """Check the wait for memory after `time_left` s, or before if its client's time may be up by then."""
+        time_left = min(time_left, max(MIN_MEMORY_CHECK_INTERVAL, self.rpc.request.timeout))
+        reactor = self.client_connection.gateway.reactor
+        self.memory_timer = reactor.callLater(time_left, self.check_memory_wait)
+
+    def check_memory_wait(self) -> None:
+        """Reject the command if it has waited for `MEMORY_TIMEOUT`, or its client's time is up.
+
+        That time counts from the last byte of the command, which may lie unread in the socket.
+        """
         self.memory_timer = None
+        time_left = self.waiting_since + MEMORY_TIMEOUT - self.client_connection.gateway.now()
+        since_end = self.client_connection.time_since_end_of(self)
+        if since_end is not None:
+            time_left = min(time_left, self.rpc.request.timeout - since_end)
+        if time_left > 0:
+            self.schedule_memory_check(time_left)
+            return
         count("body_without_room")
         self.client_connection.reject_body(self, MEMORY_TIMEOUT)
 
--- a/corkdeal/net/tcp_state.py
+++ b/corkdeal/net/tcp_state.py
@@ -14,7 +14,7 @@
 STATE_OFFSET = 0  # offset of tcpi_state, one byte, in struct tcp_info
 ARRIVAL_AGES = struct.Struct("@II")  # tcpi_last_data_recv and tcpi_last_ack_recv, ms
 ARRIVAL_AGES_OFFSET, TCP_INFO_SIZE = 52, 64
-QUEUE_SIZE = struct.Struct("@i")  # what TIOCOUTQ returns
+QUEUE_SIZE = struct.Struct("@i")  # what TIOCOUTQ and FIONREAD return
 
 
 class PeerState(enum.Enum):
@@ -59,8 +59,18 @@
 
 def unacknowledged_bytes(handle: Any) -> int:
     """Return the bytes in a socket's send queue that the peer has not acknowledged; 0 if that is unknown."""
+    return queue_size(handle, termios.TIOCOUTQ)
+
+
+def unread_bytes(handle: Any) -> int:
+    """Return the bytes in a socket's receive queue; 0 if that is unknown."""
+    return queue_size(handle, termios.FIONREAD)
+
+
+def queue_size(handle: Any, request: int) -> int:
+    """Return the bytes that an ioctl request tells; 0 if that is unknown."""
     try:
-        answer = fcntl.ioctl(handle.fileno(), termios.TIOCOUTQ, bytes(QUEUE_SIZE.size))
+        answer = fcntl.ioctl(handle.fileno(), request, bytes(QUEUE_SIZE.size))
     except (OSError, ValueError):  # closed
         return 0
     return int(QUEUE_SIZE.unpack(answer)[0])
--- a/tests/faults/test_memory_in_upgrades.py
+++ b/tests/faults/test_memory_in_upgrades.py
@@ -16,7 +16,10 @@
 MEMORY_MB = 192
 CLIENTS = 400
 VALUE_SIZE = 4 << 20  # bytes
-WRITE_TIME, WRITE_INTERVAL = 2.0, 0.05  # s that a client takes to write a value, and between two writes
+WRITE_TIME, WRITE_INTERVAL = (
+    2.0,
+    0.05,
+)  # s that a client usually takes to write a value, and between two writes
 BEGIN_INTERVAL = 1 / 12  # s between two clients that begin to write
 TIME_BEFORE, TIME_AFTER = 4.0, 2.0  # s that clients write before the upgrade, and after its end
 PART_TIMEOUT = 10.0  # s
@@ -51,8 +54,9 @@
 class LongValues(Upgrade):
     """Clients write long values slowly, one after another, to a gateway that is upgraded."""
 
-    def __init__(self, memory_mb):
+    def __init__(self, memory_mb, write_time=WRITE_TIME):
         super().__init__(memory_mb, reply_small)
+        self.write_time = write_time  # s that a client takes to write a value
         self.answers = []
 
     def memory(self):
@@ -69,7 +73,7 @@
 
     async def write_slowly(self):
         data = self.write(b"x" * VALUE_SIZE, timeout=5.0)
-        step = int(len(data) * WRITE_INTERVAL / WRITE_TIME)
+        step = int(len(data) * WRITE_INTERVAL / self.write_time)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             client = await self.client()
             answer = asyncio.create_task(client.answer())
